--- /dev/null
+++ b/crates/waxwingd/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/world/src/key.rs
@@ -0,0 +1,73 @@
+//! Keys: digests of what callers show, and the secret between processes.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use serde_with::hex::Hex;
+use serde_with::serde_as;
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+/// Bytes of a SHA-256 digest.
+pub const DIGEST_BYTES: usize = 32;
+
+/// SHA-256 digest of a key; the key itself is never kept.
+#[serde_as]
+#[derive(Clone, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct KeyDigest(#[serde_as(as = "Hex")] [u8; DIGEST_BYTES]);
+
+impl KeyDigest {
+    /// Digest of a key as shown by a caller.
+    #[must_use]
+    pub fn of(key: &str) -> Self {
+        Self(Sha256::digest(key.as_bytes()).into())
+    }
+
+    /// The digest's bytes.
+    #[must_use]
+    pub fn as_bytes(&self) -> &[u8; DIGEST_BYTES] {
+        &self.0
+    }
+
+    /// Whether two digests are equal, in a time that does not tell where they differ.
+    #[must_use]
+    pub fn matches(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "KeyDigest({:02x}{:02x}..)", self.0[0], self.0[1])
+    }
+}
+
+/// The deployment's shared secret, by which processes prove themselves.
+#[derive(Clone, Deserialize)]
+#[serde(transparent)]
+pub struct Secret(String);
+
+impl Secret {
+    /// Wraps the secret's text.
+    #[must_use]
+    pub fn new(text: impl Into<String>) -> Self {
+        Self(text.into())
+    }
+
+    /// Digest of the secret bound to `purpose`, to be shown to the other side.
+    #[must_use]
+    pub fn proof(&self, purpose: &str) -> KeyDigest {
+        let mut hash = Sha256::new();
+        hash.update(purpose.as_bytes());
+        hash.update([0]);
+        hash.update(self.0.as_bytes());
+        KeyDigest(hash.finalize().into())
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
--- /dev/null
+++ b/crates/world/tests/lock.rs
@@ -0,0 +1,22 @@
+//! The lock order is enforced in debug builds.
+
+use world::{Rank, Ranked};
+
+#[test]
+fn locks_in_order_pass() {
+    let config = Ranked::new(Rank::Config, 1);
+    let fleet = Ranked::new(Rank::Fleet, 2);
+    let outer = config.lock();
+    let inner = fleet.lock();
+    assert_eq!(*outer + *inner, 3);
+}
+
+#[test]
+#[cfg(debug_assertions)]
+#[should_panic(expected = "lock Config taken while Fleet is held")]
+fn locks_out_of_order_panic() {
+    let config = Ranked::new(Rank::Config, 1);
+    let fleet = Ranked::new(Rank::Fleet, 2);
+    let _inner = fleet.lock();
+    let _outer = config.lock();
+}
