Add the replicated log of a group of replicas

Cause: configuration and ledger need state that a majority keeps on disk. Before: an empty crate. After: Replica takes messages, ticks, proposals and finished writes and hands out messages, records and outcomes. Members are disks: each disk draws its identity at its first start, a lost disk leaves as a voter in the same entry that takes in the new one as a learner, and the learner votes once it has caught up. A group is founded only when every machine of the settings has a new disk and is pledged to the founder.

--- /dev/null
+++ b/crates/quorum/src/frame.rs
@@ -0,0 +1,59 @@
+//! Frames of a log file: one for each batch, with its length and checksum.
+
+use world::{Error, Kind, Result};
+
+use crate::record::Record;
+
+/// Marks the beginning of a frame.
+const MAGIC: [u8; 4] = *b"WXQ1";
+
+/// Bytes before the payload: magic, length, checksum.
+const HEADER_BYTES: usize = 12;
+
+/// The frame that holds `records`.
+pub fn encode(records: &[Record]) -> Result<Vec<u8>> {
+    let payload = postcard::to_stdvec(records)
+        .map_err(|e| Error::new(Kind::Internal, format!("records can't be encoded: {e}")))?;
+    let length = u32::try_from(payload.len())
+        .map_err(|_| Error::new(Kind::TooLarge, "batch of records is over 4 GiB"))?;
+    let mut frame = Vec::with_capacity(HEADER_BYTES + payload.len());
+    frame.extend_from_slice(&MAGIC);
+    frame.extend_from_slice(&length.to_le_bytes());
+    frame.extend_from_slice(&checksum(&length.to_le_bytes(), &payload).to_le_bytes());
+    frame.extend_from_slice(&payload);
+    Ok(frame)
+}
+
+/// The payload of the frame at the beginning of `bytes`, when it is whole.
+pub fn payload(bytes: &[u8]) -> Option<&[u8]> {
+    let header = bytes.get(..HEADER_BYTES)?;
+    if header[..4] != MAGIC {
+        return None;
+    }
+    let length = word(&header[4..8])?;
+    let end = HEADER_BYTES.checked_add(usize::try_from(length).ok()?)?;
+    let payload = bytes.get(HEADER_BYTES..end)?;
+    let sum = word(&header[8..])?;
+    (checksum(&header[4..8], payload) == sum).then_some(payload)
+}
+
+/// Length of the frame around a payload.
+pub fn len_bytes(payload: &[u8]) -> usize {
+    HEADER_BYTES + payload.len()
+}
+
+/// Whether a whole frame begins anywhere in `bytes`.
+pub fn any_whole(bytes: &[u8]) -> bool {
+    (0..bytes.len()).any(|at| payload(&bytes[at..]).is_some())
+}
+
+fn checksum(length: &[u8], payload: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(length);
+    hasher.update(payload);
+    hasher.finalize()
+}
+
+fn word(bytes: &[u8]) -> Option<u32> {
+    Some(u32::from_le_bytes(bytes.try_into().ok()?))
+}
--- /dev/null
+++ b/crates/quorum/src/settings.rs
@@ -0,0 +1,106 @@
+//! Settings of one replica.
+
+use std::time::Duration;
+
+use world::MachineName;
+use world::unit::ms;
+
+/// Intervals and timeouts.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// Between two heartbeats of a leader, milliseconds.
+    pub heartbeat_ms: u64,
+    /// Least election timeout, milliseconds; a drawn one is up to twice as long.
+    pub election_ms: u64,
+    /// How long a proposal or a read may wait for its outcome, milliseconds.
+    pub proposal_ms: u64,
+    /// How long a voter must be silent before a new disk takes its name, milliseconds.
+    pub replace_ms: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            heartbeat_ms: 100,
+            election_ms: 600,
+            proposal_ms: 3_000,
+            replace_ms: 2_000,
+        }
+    }
+}
+
+impl Timing {
+    pub(crate) fn heartbeat(&self) -> Duration {
+        ms(self.heartbeat_ms)
+    }
+
+    pub(crate) fn election(&self) -> Duration {
+        ms(self.election_ms)
+    }
+
+    pub(crate) fn proposal(&self) -> Duration {
+        ms(self.proposal_ms)
+    }
+
+    pub(crate) fn replace(&self) -> Duration {
+        ms(self.replace_ms)
+    }
+}
+
+/// Who a replica is and how it behaves.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this machine.
+    pub me: MachineName,
+    /// Machines that make up the group, the founder first.
+    pub names: Vec<MachineName>,
+    /// Intervals and timeouts.
+    pub timing: Timing,
+    /// Applied entries after which the log is compacted.
+    pub compact_entries: u64,
+    /// Entries before a snapshot that are kept for replicas that lag a little.
+    pub keep_entries: u64,
+    /// Seed of the drawn election timeouts.
+    pub seed: u64,
+}
+
+/// Applied entries after which a log is compacted, unless set otherwise.
+pub const COMPACT_ENTRIES: u64 = 4_096;
+
+/// Entries kept before a snapshot, unless set otherwise.
+pub const KEEP_ENTRIES: u64 = 512;
+
+impl Settings {
+    /// Settings of machine `me` in the group of `names`, with the usual timing.
+    #[must_use]
+    pub fn new(me: MachineName, names: Vec<MachineName>, seed: u64) -> Self {
+        Self {
+            me,
+            names,
+            timing: Timing::default(),
+            compact_entries: COMPACT_ENTRIES,
+            keep_entries: KEEP_ENTRIES,
+            seed,
+        }
+    }
+
+    /// The same with other intervals and timeouts.
+    #[must_use]
+    pub fn with_timing(mut self, timing: Timing) -> Self {
+        self.timing = timing;
+        self
+    }
+
+    /// The same with a log compacted after `compact_entries`, of which `keep_entries` stay.
+    #[must_use]
+    pub fn with_compaction(mut self, compact_entries: u64, keep_entries: u64) -> Self {
+        self.compact_entries = compact_entries;
+        self.keep_entries = keep_entries;
+        self
+    }
+
+    /// Whether this machine gathers the first members.
+    pub(crate) fn is_founder(&self) -> bool {
+        self.names.first() == Some(&self.me)
+    }
+}
