Add framing and links between processes

Cause: processes need calls to each other with their own heartbeat. Ruled out: one connection a call (opening costs a round trip and a proof). Before: none. After: calls over one connection, mutual proof of the secret, a silent peer loses the call after two missed heartbeats (test). Conclusion: control and entry can be built on Links.

--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,1 +1,27 @@
-//! Placeholder.
+//! Links between the system's processes.
+
+pub mod accept;
+pub mod hello;
+pub mod link;
+pub mod links;
+pub mod serve;
+
+pub use accept::accept;
+pub use hello::Identity;
+pub use link::{CallError, Link};
+pub use links::Links;
+pub use serve::Serve;
+
+use std::time::Duration;
+
+/// Time between heartbeats on a link.
+pub const HEARTBEAT: Duration = Duration::from_millis(500);
+
+/// A link that was silent for so long is replaced: two heartbeats missed.
+pub const SILENCE: Duration = Duration::from_millis(1_250);
+
+/// Bound on opening a connection, both proofs included.
+pub const OPEN_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Messages that may wait to be sent on one link.
+pub const SEND_QUEUE: usize = 1_024;
--- /dev/null
+++ b/crates/peers/src/links.rs
@@ -0,0 +1,41 @@
+//! The table of links to other processes.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use world::{Rank, Ranked};
+
+use crate::hello::Identity;
+use crate::link::Link;
+use crate::serve::Serve;
+
+/// Links by address, opened as they are needed.
+pub struct Links<S> {
+    identity: Identity,
+    serve: Arc<S>,
+    table: Ranked<HashMap<SocketAddr, Arc<Link<S>>>>,
+}
+
+impl<S: Serve> Links<S> {
+    /// An empty table; messages that arrive over its links go to `serve`.
+    #[must_use]
+    pub fn new(identity: Identity, serve: Arc<S>) -> Self {
+        Self {
+            identity,
+            serve,
+            table: Ranked::new(Rank::Links, HashMap::new()),
+        }
+    }
+
+    /// The link to `addr`.
+    #[must_use]
+    pub fn to(&self, addr: SocketAddr) -> Arc<Link<S>> {
+        let mut table = self.table.lock();
+        let link = table.entry(addr).or_insert_with(|| {
+            let identity = self.identity.clone();
+            Arc::new(Link::new(addr, identity, Arc::clone(&self.serve)))
+        });
+        Arc::clone(link)
+    }
+}
--- /dev/null
+++ b/crates/peers/src/serve.rs
@@ -0,0 +1,23 @@
+//! What a process does with the messages of others.
+
+use std::future::Future;
+use std::sync::Arc;
+
+use wire::Body;
+use world::MachineName;
+
+/// Answers calls that arrive over links.
+pub trait Serve: Send + Sync + 'static {
+    /// The answer to one message; `None` when none is wanted.
+    fn serve(
+        self: &Arc<Self>,
+        from: &MachineName,
+        body: Body,
+    ) -> impl Future<Output = Option<Body>> + Send;
+
+    /// Version of this process's configuration, put on every message.
+    fn config_version(&self) -> u64;
+
+    /// Called with the version on every message that arrives.
+    fn heard_version(&self, from: &MachineName, version: u64);
+}
--- /dev/null
+++ b/crates/wire/src/body.rs
@@ -0,0 +1,186 @@
+//! The messages.
+
+use world::{Error, Kind};
+
+/// Frame of every message.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Envelope {
+    /// Number of the call; the reply carries the same. 0: no reply is wanted.
+    #[prost(uint64, tag = "1")]
+    pub call: u64,
+    /// Version of the configuration that the sender has.
+    #[prost(uint64, tag = "2")]
+    pub config_version: u64,
+    /// The message.
+    #[prost(
+        oneof = "Body",
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29"
+    )]
+    pub body: Option<Body>,
+}
+
+/// Every message there is.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Body {
+    /// First message of the side that accepted the connection.
+    #[prost(message, tag = "10")]
+    Challenge(Challenge),
+    /// First message of the side that connected.
+    #[prost(message, tag = "11")]
+    Hello(Hello),
+    /// Ends the opening: both sides have proved themselves.
+    #[prost(message, tag = "12")]
+    Welcome(Welcome),
+    /// Heartbeat.
+    #[prost(message, tag = "13")]
+    Ping(Ping),
+    /// Answer to a heartbeat.
+    #[prost(message, tag = "14")]
+    Pong(Pong),
+    /// The call was refused.
+    #[prost(message, tag = "15")]
+    Refusal(Refusal),
+    /// Asks for the configuration.
+    #[prost(message, tag = "16")]
+    ConfigAsk(ConfigAsk),
+    /// Gives the configuration.
+    #[prost(message, tag = "17")]
+    ConfigGive(ConfigGive),
+    /// A message between replicas of one group, in the group's own encoding.
+    #[prost(message, tag = "18")]
+    Group(Group),
+    /// A message about membership.
+    #[prost(message, tag = "19")]
+    Members(Members),
+    /// Asks the ledger.
+    #[prost(message, tag = "20")]
+    LedgerAsk(LedgerAsk),
+    /// Answer of the ledger.
+    #[prost(message, tag = "21")]
+    LedgerGive(LedgerGive),
+}
+
+/// Opens a connection: a number that the other side binds its proof to.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Challenge {
+    /// Random number of the accepting side.
+    #[prost(fixed64, tag = "1")]
+    pub nonce: u64,
+}
+
+/// Names the connecting side and proves that it has the secret.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Hello {
+    /// Name of the connecting machine.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Proof bound to the accepting side's nonce.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub proof: bytes::Bytes,
+    /// Random number of the connecting side.
+    #[prost(fixed64, tag = "3")]
+    pub nonce: u64,
+}
+
+/// Names the accepting side and proves that it has the secret.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Welcome {
+    /// Name of the accepting machine.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Proof bound to the connecting side's nonce.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub proof: bytes::Bytes,
+}
+
+/// Heartbeat.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Ping {}
+
+/// Answer to a heartbeat.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Pong {}
+
+/// The call was refused.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Refusal {
+    /// Code of the error kind.
+    #[prost(string, tag = "1")]
+    pub kind: String,
+    /// What happened, for people.
+    #[prost(string, tag = "2")]
+    pub detail: String,
+}
+
+/// Asks for the configuration when it is above `have_version`.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ConfigAsk {
+    /// Version that the asking side has.
+    #[prost(uint64, tag = "1")]
+    pub have_version: u64,
+}
+
+/// Gives the configuration; empty when the asking side is up to date.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ConfigGive {
+    /// Version given.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The configuration as JSON, empty when nothing is new.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub config_json: bytes::Bytes,
+}
+
+/// A message between replicas of one group.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Group {
+    /// Name of the group.
+    #[prost(string, tag = "1")]
+    pub group: String,
+    /// The message in the group's own encoding.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub payload: bytes::Bytes,
+}
+
+/// A message about membership.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Members {
+    /// The message in the encoding of the membership table.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub payload: bytes::Bytes,
+}
+
+/// Asks the ledger.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LedgerAsk {
+    /// Name of the group that keeps the ledger.
+    #[prost(string, tag = "1")]
+    pub group: String,
+    /// The command in the ledger's own encoding.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub command: bytes::Bytes,
+}
+
+/// Answer of the ledger.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LedgerGive {
+    /// The outcome in the ledger's own encoding.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub outcome: bytes::Bytes,
+}
+
+impl From<&Error> for Refusal {
+    fn from(error: &Error) -> Self {
+        Self {
+            kind: error.kind.to_string(),
+            detail: error.detail.clone(),
+        }
+    }
+}
+
+impl From<Refusal> for Error {
+    fn from(refusal: Refusal) -> Self {
+        let kind = Kind::from_code(&refusal.kind).unwrap_or(Kind::Internal);
+        Self::new(kind, refusal.detail)
+    }
+}
--- a/crates/world/src/key.rs
+++ b/crates/world/src/key.rs
@@ -33,7 +33,19 @@
     /// Whether two digests are equal, in a time that does not tell where they differ.
     #[must_use]
     pub fn matches(&self, other: &Self) -> bool {
-        self.0.ct_eq(&other.0).into()
+        self.matches_bytes(&other.0)
+    }
+
+    /// Whether this is the digest with these bytes, in constant time.
+    #[must_use]
+    pub fn matches_bytes(&self, bytes: &[u8]) -> bool {
+        self.0[..].ct_eq(bytes).into()
+    }
+
+    /// The digest as hex.
+    #[must_use]
+    pub fn to_hex(&self) -> String {
+        hex::encode(self.0)
     }
 }
 
