Thin path: conf, desk, control, entry, waxwingd

Cause: nothing served yet. Settings and lists are read by field with every mistake collected; a desk crate holds what both roles' dropshot servers share; control keeps the accepted configuration on disk; entry leases backend servers, looks up and forwards. Ruled out: serde over the whole file (it stops at the first mistake). Before: no process.

--- /dev/null
+++ b/crates/conf/src/settings.rs
@@ -0,0 +1,235 @@
+//! Settings of one VM of the system.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use serde::{Deserialize, Serialize};
+use world::{KeyDigest, Link, MachineName, Place, Region, Secret, Zones};
+
+use crate::fault::Faults;
+use crate::fields::Fields;
+use crate::source::read;
+
+const NAME: &str = "a name of letters, digits, '-', '_' and '.'";
+const ADDR: &str = "an IP address and port such as \"127.0.0.1:0\"";
+const ADDRS: &str = "a list of IP addresses with ports";
+
+/// A role that a VM takes.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Answers look-ups, admits and forwards requests.
+    Entry,
+    /// Keeps configuration and ledger on its disk.
+    Control,
+}
+
+/// The addresses of one VM.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Addrs {
+    /// Callers' requests.
+    pub front: SocketAddr,
+    /// Look-ups, announcements and operators.
+    pub desk: SocketAddr,
+    /// The system's own processes.
+    pub link: SocketAddr,
+}
+
+/// A control replica as the settings name it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReplicaAddr {
+    /// Name of the control VM.
+    pub name: MachineName,
+    /// Its address for the system's own processes.
+    pub link: SocketAddr,
+}
+
+/// What is logged.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LogSettings {
+    /// Level for all targets that have none of their own.
+    pub level: String,
+    /// Level for each target.
+    pub targets: BTreeMap<String, String>,
+}
+
+/// Settings of one VM of the system.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name, unique in the site.
+    pub name: MachineName,
+    /// Where it stands.
+    pub place: Place,
+    /// Roles it takes.
+    pub roles: Vec<Role>,
+    /// Workers of the pool.
+    pub workers: usize,
+    /// Secret of the deployment.
+    pub secret: Secret,
+    /// Addresses that it listens on; port 0: the system chooses.
+    pub listen: Addrs,
+    /// Addresses that others reach it at; by default those it listens on.
+    pub advertise: Option<Addrs>,
+    /// Folder for state that survives; needed by the control role.
+    pub data_dir: Option<PathBuf>,
+    /// Control replicas.
+    pub control: Vec<ReplicaAddr>,
+    /// Link addresses of some entry VMs, to find the others by.
+    pub seeds: Vec<SocketAddr>,
+    /// Digests of operators' keys that hold before the lists name any.
+    pub operator_key_sha256: Vec<KeyDigest>,
+    /// Map of the site.
+    pub zones: Zones,
+    /// Time that callers may keep a look-up's answer, milliseconds.
+    pub lookup_ttl_ms: u64,
+    /// Length of a backend server's lease, milliseconds.
+    pub lease_ms: u64,
+    /// Longest time that a shutdown waits for work in flight, milliseconds.
+    pub shutdown_ms: u64,
+    /// What is logged.
+    pub log: LogSettings,
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+/// Every mistake in the file.
+pub fn parse_settings(file: &str, text: &str) -> Result<Settings, Faults> {
+    read(file, text, settings)
+}
+
+fn settings(top: &mut Fields<'_>) -> Option<Settings> {
+    let name = top.need("name", NAME);
+    let place = top.object("place", place);
+    let roles = top.need("roles", "a list of \"entry\" and \"control\"");
+    let workers = top.bounded("workers", 2, 1, 256);
+    let secret = top.need("secret", "the deployment's secret, a text");
+    let listen = top.object("listen", addrs);
+    let advertise = top.may_object("advertise", addrs);
+    let data_dir = top.may("data_dir", "a folder's path");
+    let control = top.list("control", replica);
+    let seeds = top.may("seeds", ADDRS);
+    let operators = top.may("operator_key_sha256", "a list of SHA-256 digests");
+    let zones = top.object("zones", |z| Some(zones(z)));
+    let lookup_ttl_ms = top.bounded("lookup_ttl_ms", 2_000, 100, 600_000);
+    let lease_ms = top.bounded("lease_ms", 3_000, 300, 60_000);
+    let shutdown_ms = top.bounded("shutdown_ms", 30_000, 100, 3_600_000);
+    let log = top.may_object("log", |l| Some(log_settings(l)));
+    let settings = Settings {
+        name: name?,
+        place: place?,
+        roles: roles?,
+        workers: usize::try_from(workers).ok()?,
+        secret: secret.map(|s: String| Secret::new(s))?,
+        listen: listen?,
+        advertise,
+        data_dir,
+        control,
+        seeds: seeds.unwrap_or_default(),
+        operator_key_sha256: operators.unwrap_or_default(),
+        zones: zones?,
+        lookup_ttl_ms,
+        lease_ms,
+        shutdown_ms,
+        log: log.unwrap_or_else(default_log),
+    };
+    check(&settings, top);
+    Some(settings)
+}
+
+fn check(settings: &Settings, top: &mut Fields<'_>) {
+    if settings.roles.is_empty() {
+        top.wrong("roles", "expected at least one role".into());
+    }
+    if settings.roles.contains(&Role::Control) && settings.data_dir.is_none() {
+        top.wrong(
+            "data_dir",
+            "missing; the control role needs a folder".into(),
+        );
+    }
+    if !settings.zones.has(&settings.place) {
+        let text = format!(
+            "zones have no failure domain {}/{}",
+            settings.place.region, settings.place.domain
+        );
+        top.wrong("place", text);
+    }
+    if let Err(error) = settings.zones.check() {
+        top.wrong("zones", error.detail);
+    }
+}
+
+fn place(fields: &mut Fields<'_>) -> Option<Place> {
+    let region = fields.need("region", NAME);
+    let domain = fields.need("domain", NAME);
+    Some(Place::new(region?, domain?))
+}
+
+fn addrs(fields: &mut Fields<'_>) -> Option<Addrs> {
+    let front = fields.need("front", ADDR);
+    let desk = fields.need("desk", ADDR);
+    let link = fields.need("link", ADDR);
+    Some(Addrs {
+        front: front?,
+        desk: desk?,
+        link: link?,
+    })
+}
+
+fn replica(fields: &mut Fields<'_>) -> Option<ReplicaAddr> {
+    let name = fields.need("name", NAME);
+    let link = fields.need("link", ADDR);
+    Some(ReplicaAddr {
+        name: name?,
+        link: link?,
+    })
+}
+
+fn zones(fields: &mut Fields<'_>) -> Zones {
+    let regions = fields.list("regions", |region| {
+        let name = region.need("name", NAME);
+        let domains = region.need("domains", "a list of objects with a name");
+        Some(Region {
+            name: name?,
+            domains: domains?,
+        })
+    });
+    let links = fields.list("links", |link| {
+        let from = link.need("from", "a region's name");
+        let to = link.need("to", "a region's name");
+        let rate_bits_per_s = link.need("rate_bits_per_s", "bits a second");
+        let latency_us = link.need("latency_us", "microseconds");
+        Some(Link {
+            from: from?,
+            to: to?,
+            rate_bits_per_s: rate_bits_per_s?,
+            latency_us: latency_us?,
+        })
+    });
+    Zones { regions, links }
+}
+
+fn log_settings(fields: &mut Fields<'_>) -> LogSettings {
+    let mut log = default_log();
+    let level = fields.may("level", "a level: error, warn, info, debug or trace");
+    let targets = fields.may("targets", "an object from target to level");
+    log.level = level.unwrap_or(log.level);
+    log.targets = targets.unwrap_or_default();
+    let known = ["off", "error", "warn", "info", "debug", "trace"];
+    let unknown = |level: &str| !known.contains(&level);
+    if unknown(&log.level) {
+        fields.wrong("level", format!("expected one of {}", known.join(", ")));
+    }
+    if log.targets.values().any(|level| unknown(level)) {
+        fields.wrong("targets", format!("expected one of {}", known.join(", ")));
+    }
+    log
+}
+
+fn default_log() -> LogSettings {
+    LogSettings {
+        level: "info".into(),
+        targets: BTreeMap::new(),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/ask.rs
@@ -0,0 +1,125 @@
+//! A caller's request, read from its HTTP form.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::{Method, Request};
+use tokio::time::{Instant, timeout};
+use world::unit::ms;
+use world::{Error, KeyDigest, Kind};
+
+/// Largest body of a request, bytes.
+pub const BODY_MAX_BYTES: usize = 1024 * 1024;
+
+/// Bound on the time that a caller may take to send its body.
+pub const BODY_PATIENCE: Duration = Duration::from_secs(10);
+
+/// Header with the time that the caller still waits, milliseconds.
+pub const DEADLINE_HEADER: &str = "x-waxwing-deadline-ms";
+
+/// Header that names a non-idempotent operation.
+pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+
+/// A request as the decisions see it.
+#[derive(Debug)]
+pub struct Ask {
+    /// Digest of the key that the caller showed.
+    pub key: KeyDigest,
+    /// First segment of the path.
+    pub service: String,
+    /// Rest of the path, with the query, from its slash on.
+    pub rest: String,
+    /// Method.
+    pub method: Method,
+    /// Headers as they came.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// When it arrived.
+    pub arrived_at: Instant,
+    /// Deadline that the caller gave.
+    pub deadline: Option<Duration>,
+}
+
+impl Ask {
+    /// Reads a request and its body, within bounds.
+    ///
+    /// # Errors
+    /// [`Kind::BadRequest`], [`Kind::TooLarge`] or [`Kind::SlowCaller`].
+    pub async fn read(request: Request<Incoming>) -> Result<Self, Error> {
+        let arrived_at = Instant::now();
+        let (head, body) = request.into_parts();
+        let (service, rest) = split_path(head.uri.path_and_query().map_or("/", |p| p.as_str()))?;
+        let key = text(&head.headers, ::desk::KEY_HEADER)?.unwrap_or("");
+        let key = KeyDigest::of(key);
+        let deadline = read_deadline(&head.headers)?;
+        let body = read_body(body).await?;
+        Ok(Self {
+            key,
+            service,
+            rest,
+            method: head.method,
+            headers: head.headers,
+            body,
+            arrived_at,
+            deadline,
+        })
+    }
+}
+
+fn split_path(path: &str) -> Result<(String, String), Error> {
+    let path = path.strip_prefix('/').unwrap_or(path);
+    let (service, rest) = match path.find(['/', '?']) {
+        Some(at) => path.split_at(at),
+        None => (path, "/"),
+    };
+    if service.is_empty() {
+        return Err(Error::new(
+            Kind::BadRequest,
+            "the path must start with a service: /SERVICE/PATH",
+        ));
+    }
+    let slash = if rest.starts_with('/') { "" } else { "/" };
+    Ok((service.into(), format!("{slash}{rest}")))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Error> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value
+        .to_str()
+        .map_err(|_| Error::new(Kind::BadRequest, format!("header {name} is not text")))?;
+    Ok(Some(text))
+}
+
+fn read_deadline(headers: &HeaderMap) -> Result<Option<Duration>, Error> {
+    let Some(value) = text(headers, DEADLINE_HEADER)? else {
+        return Ok(None);
+    };
+    let deadline_ms = value.parse().map_err(|_| {
+        let text = format!("header {DEADLINE_HEADER}: expected milliseconds, found {value:?}");
+        Error::new(Kind::BadRequest, text)
+    })?;
+    Ok(Some(ms(deadline_ms)))
+}
+
+async fn read_body(body: Incoming) -> Result<Bytes, Error> {
+    let collected = timeout(BODY_PATIENCE, Limited::new(body, BODY_MAX_BYTES).collect())
+        .await
+        .map_err(|_| Error::new(Kind::SlowCaller, "the body took too long"))?;
+    match collected {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Error::new(
+            Kind::TooLarge,
+            format!("the body is over {BODY_MAX_BYTES} bytes"),
+        )),
+        Err(error) => Err(Error::new(
+            Kind::BadRequest,
+            format!("the body broke off: {error}"),
+        )),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/desk.rs
@@ -0,0 +1,153 @@
+//! The desk of an entry VM: look-ups and announcements.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, OnceLock};
+
+use ::desk::{Refusal, SECRET_HEADER, header};
+use dropshot::{ApiDescription, HttpResponseOk, Query, RequestContext, TypedBody, endpoint};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+use world::unit::ms;
+use world::{BackendServer, EntryVm, Error, Kind, MachineName};
+
+use crate::state::State;
+
+/// What the desk works on: the tables, once the desk's own address is known.
+#[derive(Default)]
+pub struct Context {
+    /// Set right after the desk is bound.
+    pub state: OnceLock<Arc<State>>,
+}
+
+impl Context {
+    fn state(&self) -> Result<&Arc<State>, Error> {
+        let starting = || Error::new(Kind::Leaving, "this entry VM is starting");
+        self.state.get().ok_or_else(starting)
+    }
+}
+
+/// Purpose that an announcement's proof is bound to.
+pub const ANNOUNCE: &str = "announce";
+
+/// Who asks for a look-up, and for what.
+#[derive(Debug, Deserialize, JsonSchema)]
+pub struct LookupQuery {
+    /// Address of the client; by default the address that the call came from.
+    pub client: Option<IpAddr>,
+    /// Service that is to be used.
+    pub service: String,
+}
+
+/// Entry VMs to use, best first.
+#[derive(Debug, Deserialize, JsonSchema, Serialize)]
+pub struct Lookup {
+    /// The entry VMs.
+    pub entries: Vec<EntryVm>,
+    /// Time that the answer may be kept, milliseconds.
+    pub ttl_ms: u64,
+    /// Version of the configuration that decided.
+    pub config_version: u64,
+}
+
+/// A lease that was granted.
+#[derive(Debug, Deserialize, JsonSchema, Serialize)]
+pub struct Granted {
+    /// Length of the lease, milliseconds.
+    pub lease_ms: u64,
+    /// Version of the configuration here.
+    pub config_version: u64,
+    /// Desks of all entry VMs of the failure domain: announce to each.
+    pub desks: Vec<SocketAddr>,
+}
+
+/// State of an entry VM.
+#[derive(Debug, Deserialize, JsonSchema, Serialize)]
+pub struct Status {
+    /// Name of the machine.
+    pub name: MachineName,
+    /// Version of the configuration in force here.
+    pub config_version: u64,
+    /// Entry VMs known and alive.
+    pub entries: Vec<MachineName>,
+    /// Backend servers with a live lease here.
+    pub servers: usize,
+}
+
+/// The API of the desk.
+///
+/// # Panics
+/// Never: the endpoints below don't clash.
+#[must_use]
+pub fn api() -> ApiDescription<Context> {
+    let mut api = ApiDescription::new();
+    api.register(get_lookup).expect("endpoints do not clash");
+    api.register(post_announce).expect("endpoints do not clash");
+    api.register(get_status).expect("endpoints do not clash");
+    api
+}
+
+/// Tells a caller which entry VMs to use.
+#[endpoint { method = GET, path = "/v1/lookup" }]
+async fn get_lookup(
+    request: RequestContext<Context>,
+    query: Query<LookupQuery>,
+) -> Result<HttpResponseOk<Lookup>, Refusal> {
+    let state = request.context().state()?;
+    let query = query.into_inner();
+    let in_force = state.in_force();
+    if in_force.book.service(&query.service).is_none() {
+        let text = format!("no service {:?}", query.service);
+        return Err(Error::new(Kind::NoSuchService, text).into());
+    }
+    let mut entries = state.members.lock().live(Instant::now());
+    entries.retain(|vm| !in_force.config.drains_entry(&vm.name, &vm.place));
+    entries.sort_by_key(|vm| vm.place != state.me.place);
+    Ok(HttpResponseOk(Lookup {
+        entries,
+        ttl_ms: state.times.lookup_ttl_ms,
+        config_version: in_force.config.version,
+    }))
+}
+
+/// Grants or renews a backend server's lease.
+#[endpoint { method = POST, path = "/v1/announce" }]
+async fn post_announce(
+    request: RequestContext<Context>,
+    server: TypedBody<BackendServer>,
+) -> Result<HttpResponseOk<Granted>, Refusal> {
+    let state = request.context().state()?;
+    let shown = header(&request, SECRET_HEADER);
+    if !state.secret.proves(ANNOUNCE, shown) {
+        return Err(Error::new(Kind::BadKey, "the announcement has no proof of the secret").into());
+    }
+    let server = server.into_inner();
+    if server.place != state.me.place {
+        let text = format!("this entry VM stands in {:?}", state.me.place);
+        return Err(Error::new(Kind::BadRequest, text).into());
+    }
+    let now = Instant::now();
+    let entries = state.members.lock().live(now);
+    let length = ms(state.times.lease_ms);
+    state.leases.lock().announce(now, server, length);
+    let neighbours = entries.iter().filter(|vm| vm.place == state.me.place);
+    Ok(HttpResponseOk(Granted {
+        lease_ms: state.times.lease_ms,
+        config_version: state.version(),
+        desks: neighbours.map(|vm| vm.desk_addr).collect(),
+    }))
+}
+
+/// Gives the state of this entry VM.
+#[endpoint { method = GET, path = "/v1/status" }]
+async fn get_status(request: RequestContext<Context>) -> Result<HttpResponseOk<Status>, Refusal> {
+    let state = request.context().state()?;
+    let now = Instant::now();
+    let live = state.members.lock().live(now);
+    Ok(HttpResponseOk(Status {
+        name: state.me.name.clone(),
+        config_version: state.version(),
+        entries: live.into_iter().map(|vm| vm.name).collect(),
+        servers: state.leases.lock().live(now),
+    }))
+}
--- /dev/null
+++ b/crates/entry/src/state.rs
@@ -0,0 +1,86 @@
+//! The tables that all workers of an entry VM share.
+
+use std::sync::Arc;
+
+use tokio::sync::watch;
+use world::{Book, Config, EntryVm, Rank, Ranked, Secret};
+
+use crate::leases::Leases;
+use crate::members::Members;
+
+/// A configuration and the book made from it.
+#[derive(Debug, Default)]
+pub struct InForce {
+    /// The configuration.
+    pub config: Config,
+    /// Its lists, indexed.
+    pub book: Book,
+}
+
+/// Limits of time that the settings give, milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// Time that callers may keep a look-up's answer.
+    pub lookup_ttl_ms: u64,
+    /// Length of a backend server's lease.
+    pub lease_ms: u64,
+    /// Longest time that a shutdown waits for work in flight.
+    pub shutdown_ms: u64,
+}
+
+/// The tables of an entry VM.
+pub struct State {
+    /// This machine.
+    pub me: EntryVm,
+    /// Secret of the deployment.
+    pub secret: Secret,
+    /// Limits of time.
+    pub times: Times,
+    /// Entry VMs known.
+    pub members: Ranked<Members>,
+    /// Backend servers of the failure domain.
+    pub leases: Ranked<Leases>,
+    in_force: Ranked<Arc<InForce>>,
+    version: watch::Sender<u64>,
+}
+
+impl State {
+    /// Empty tables for this machine.
+    #[must_use]
+    pub fn new(me: EntryVm, secret: Secret, times: Times) -> Self {
+        Self {
+            members: Ranked::new(Rank::Members, Members::new(me.clone())),
+            leases: Ranked::new(Rank::Fleet, Leases::default()),
+            in_force: Ranked::new(Rank::Config, Arc::default()),
+            version: watch::Sender::new(0),
+            me,
+            secret,
+            times,
+        }
+    }
+
+    /// The configuration in force here.
+    #[must_use]
+    pub fn in_force(&self) -> Arc<InForce> {
+        Arc::clone(&self.in_force.lock())
+    }
+
+    /// Version of the configuration in force here.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        *self.version.borrow()
+    }
+
+    /// Puts a configuration in force if it is newer; never goes back.
+    pub fn adopt(&self, config: Config) -> bool {
+        let book = Book::new(&config.lists);
+        let mut in_force = self.in_force.lock();
+        let version = config.version;
+        if version <= in_force.config.version {
+            return false;
+        }
+        *in_force = Arc::new(InForce { config, book });
+        self.version.send_replace(version);
+        true
+    }
+}
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -21,7 +21,7 @@
 pub const SILENCE: Duration = Duration::from_millis(1_250);
 
 /// Bound on opening a connection, both proofs included.
-pub const OPEN_TIMEOUT: Duration = Duration::from_millis(2_000);
+pub const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Messages that may wait to be sent on one link.
 pub const SEND_QUEUE: usize = 1_024;
--- a/crates/waxwingd/src/main.rs
+++ b/crates/waxwingd/src/main.rs
@@ -1,2 +1,18 @@
-//! Placeholder.
-fn main() {}
+//! One VM of the waxwingchute traffic steering system.
+
+mod args;
+mod check;
+mod logs;
+mod run;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match args::parse().and_then(args::Command::run) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("waxwingd: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/world/src/config.rs
+++ b/crates/world/src/config.rs
@@ -1,5 +1,6 @@
 //! The accepted configuration: the two lists and the drains in force.
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use crate::contract::Lists;
@@ -8,7 +9,9 @@
 use crate::zone::Place;
 
 /// Something that an operator has announced to be leaving.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Debug, Deserialize, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd, Serialize,
+)]
 #[serde(rename_all = "snake_case")]
 pub enum Drain {
     /// One backend server.
@@ -22,7 +25,7 @@
 }
 
 /// The configuration at one version.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 pub struct Config {
     /// Version; grows by one with each accepted change. 0: nothing accepted yet.
     pub version: u64,
@@ -33,7 +36,7 @@
 }
 
 /// What a change does.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Action {
     /// Puts new lists in place of the old ones.
@@ -45,7 +48,7 @@
 }
 
 /// One change of the configuration, as an operator asks for it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Change {
     /// Id chosen by the operator; a resend carries the same one.
--- a/crates/world/src/contract.rs
+++ b/crates/world/src/contract.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use crate::key::KeyDigest;
@@ -13,7 +14,9 @@
 use crate::name::{CustomerName, MachineName, PlanName, RegionName, ServiceName};
 
 /// Expected length of a piece of work.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Deserialize, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd, Serialize,
+)]
 #[serde(rename_all = "snake_case")]
 pub enum Class {
     /// Someone waits for it; it must not wait behind long work.
@@ -34,7 +37,7 @@
 }
 
 /// A customer and the plan it is on.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Customer {
     /// Name, unique in the list.
@@ -49,7 +52,7 @@
 }
 
 /// Someone who may change the configuration.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Operator {
     /// Name, for logs.
@@ -59,7 +62,7 @@
 }
 
 /// What a plan may use of one service.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Use {
     /// Service.
@@ -73,7 +76,7 @@
 }
 
 /// A plan: its priority and what it may use.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Plan {
     /// Name, unique in the list.
@@ -85,7 +88,7 @@
 }
 
 /// A service that backend servers offer.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Name, unique in the list.
@@ -99,7 +102,7 @@
 }
 
 /// The two lists together.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Lists {
     /// First list: customers.
--- a/crates/world/src/key.rs
+++ b/crates/world/src/key.rs
@@ -49,6 +49,16 @@
     }
 }
 
+impl schemars::JsonSchema for KeyDigest {
+    fn schema_name() -> String {
+        "KeyDigest".into()
+    }
+
+    fn json_schema(generator: &mut schemars::r#gen::SchemaGenerator) -> schemars::schema::Schema {
+        String::json_schema(generator)
+    }
+}
+
 impl fmt::Debug for KeyDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "KeyDigest({:02x}{:02x}..)", self.0[0], self.0[1])
@@ -76,6 +86,16 @@
         hash.update(self.0.as_bytes());
         KeyDigest(hash.finalize().into())
     }
+
+    /// Whether `shown_hex` is this secret's proof for `purpose`.
+    #[must_use]
+    pub fn proves(&self, purpose: &str, shown_hex: &str) -> bool {
+        let mut shown = [0; DIGEST_BYTES];
+        if hex::decode_to_slice(shown_hex, &mut shown).is_err() {
+            return false;
+        }
+        self.proof(purpose).matches_bytes(&shown)
+    }
 }
 
 impl fmt::Debug for Secret {
--- a/crates/world/src/link.rs
+++ b/crates/world/src/link.rs
@@ -1,11 +1,12 @@
 //! Links between regions and their limits.
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use crate::name::RegionName;
 
 /// A one-way link between two regions, shared by all traffic.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Link {
     /// Region at the sending end.
--- a/crates/world/src/machine.rs
+++ b/crates/world/src/machine.rs
@@ -2,13 +2,14 @@
 
 use std::net::SocketAddr;
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use crate::name::{MachineName, ServerName, ServiceName};
 use crate::zone::Place;
 
 /// A VM of the system that answers look-ups and forwards requests.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 pub struct EntryVm {
     /// Name, unique in the site.
     pub name: MachineName,
@@ -23,7 +24,7 @@
 }
 
 /// What a machine wants of the system.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, JsonSchema, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Lifecycle {
     /// Takes new work.
@@ -34,7 +35,7 @@
 }
 
 /// A backend server's own report of its load; it may lag or mislead.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Load {
     /// Requests it is running.
@@ -46,7 +47,7 @@
 }
 
 /// A backend server as it announces itself.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct BackendServer {
     /// Name, unique in the site.
--- a/crates/world/src/name.rs
+++ b/crates/world/src/name.rs
@@ -54,6 +54,16 @@
             }
         }
 
+        impl schemars::JsonSchema for $name {
+            fn schema_name() -> String {
+                stringify!($name).into()
+            }
+
+            fn json_schema(generator: &mut schemars::r#gen::SchemaGenerator) -> schemars::schema::Schema {
+                String::json_schema(generator)
+            }
+        }
+
         impl Borrow<str> for $name {
             fn borrow(&self) -> &str {
                 &self.0
--- a/crates/world/src/zone.rs
+++ b/crates/world/src/zone.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use crate::kind::{Error, Kind};
@@ -9,7 +10,9 @@
 use crate::name::{DomainName, RegionName};
 
 /// Where a machine stands.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Debug, Deserialize, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd, Serialize,
+)]
 #[serde(deny_unknown_fields)]
 pub struct Place {
     /// Region.
@@ -27,7 +30,7 @@
 }
 
 /// A set of machines that can fail, or be cut off, together.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct FailureDomain {
     /// Name, unique within the region.
@@ -35,7 +38,7 @@
 }
 
 /// A region: failure domains with short ways between them.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Region {
     /// Name, unique in the site.
@@ -45,7 +48,7 @@
 }
 
 /// The map of a site: every region and the links between them.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Zones {
     /// Regions.
