Add the stand-in backend server, the relay and the process harness

Cause: the path from end to end needs a backend server to announce itself, and its tests need links that fail and processes that can be killed.

Ruled out: one HTTP client for each tool; waxwingctl's small client serves both. Pooled hyper-util client: it hides which connection a request uses.

Before: no stand-in.

Conclusion: the thin path can be built against rig backend.

--- /dev/null
+++ b/crates/rig/src/main.rs
@@ -0,0 +1,8 @@
+//! The `rig` binary: stand-ins and small experiments as processes.
+
+use std::process::ExitCode;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    rig::cmd::run().await
+}
--- /dev/null
+++ b/crates/rig/tests/process.rs
@@ -0,0 +1,48 @@
+//! The harness starts, freezes and ends processes.
+
+use std::time::Duration;
+
+use rig::process::{Process, get, wait_until};
+use rig::server::Stats;
+
+const BACKEND: [&str; 9] = [
+    "backend",
+    "--name",
+    "a-1",
+    "--service",
+    "a",
+    "--region",
+    "r",
+    "--domain",
+    "d",
+];
+const WAIT: Duration = Duration::from_secs(10);
+
+#[tokio::test]
+async fn start_freeze_thaw_and_terminate() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut backend = Process::start("rig", "a-1", BACKEND, dir.path())
+        .await
+        .unwrap();
+    let control = backend.addr("control_addr").unwrap();
+    let stats: Stats = get(control, "/rig/stats").await.unwrap();
+    assert_eq!(stats.started, 0);
+    backend.freeze().unwrap();
+    let request = hyper::Request::get("/rig/stats").body(http_body_util::Full::default());
+    let short = Duration::from_millis(100);
+    let answer = waxwingctl::http::send(control, request.unwrap(), short).await;
+    assert!(answer.is_err());
+    backend.thaw().unwrap();
+    let alive = || async { get::<Stats>(control, "/rig/stats").await.ok() };
+    wait_until("backend answers again", alive).await.unwrap();
+    backend.terminate().unwrap();
+    assert!(backend.ended(WAIT).await.unwrap().success());
+}
+
+#[tokio::test]
+async fn failed_start_shows_the_log() {
+    let dir = tempfile::tempdir().unwrap();
+    let failed = Process::start("rig", "bad", ["backend", "--nonsense"], dir.path()).await;
+    let text = format!("{:#}", failed.unwrap_err());
+    insta::assert_snapshot!(text);
+}
--- /dev/null
+++ b/crates/waxwingctl/src/lib.rs
@@ -0,0 +1,3 @@
+//! Parts of the operators' tool that other programs use too.
+
+pub mod http;
