Let one process take both roles

Cause: a small site has few VMs; the roles had one set of addresses between them. Ruled out: one listener for both roles (their messages would need a router).

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -36,6 +36,15 @@
     pub link: SocketAddr,
 }
 
+/// The addresses of one control VM.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ControlAddrs {
+    /// Operators.
+    pub desk: SocketAddr,
+    /// The system's own processes.
+    pub link: SocketAddr,
+}
+
 /// A control replica as the settings name it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ReplicaAddr {
@@ -67,9 +76,11 @@
     pub workers: usize,
     /// Secret of the deployment.
     pub secret: Secret,
-    /// Addresses that it listens on; port 0: the system chooses.
-    pub listen: Addrs,
-    /// Addresses that others reach it at; by default those it listens on.
+    /// Addresses of the entry role; port 0: the system chooses.
+    pub listen: Option<Addrs>,
+    /// Addresses of the control role; port 0: the system chooses.
+    pub control_listen: Option<ControlAddrs>,
+    /// Addresses that others reach the entry role at; by default those it listens on.
     pub advertise: Option<Addrs>,
     /// Folder for state that survives; needed by the control role.
     pub data_dir: Option<PathBuf>,
@@ -105,7 +116,8 @@
     let roles = top.need("roles", "a list of \"entry\" and \"control\"");
     let workers = top.bounded("workers", 2, 1, 256);
     let secret = top.need("secret", "the deployment's secret, a text");
-    let listen = top.object("listen", addrs);
+    let listen = top.may_object("listen", addrs);
+    let control_listen = top.may_object("control_listen", control_addrs);
     let advertise = top.may_object("advertise", addrs);
     let data_dir = top.may("data_dir", "a folder's path");
     let control = top.list("control", replica);
@@ -122,7 +134,8 @@
         roles: roles?,
         workers: usize::try_from(workers).ok()?,
         secret: secret.map(|s: String| Secret::new(s))?,
-        listen: listen?,
+        listen,
+        control_listen,
         advertise,
         data_dir,
         control,
@@ -148,6 +161,18 @@
             "missing; the control role needs a folder".into(),
         );
     }
+    if settings.roles.contains(&Role::Control) && settings.control_listen.is_none() {
+        top.wrong(
+            "control_listen",
+            "missing; the control role needs desk and link".into(),
+        );
+    }
+    if settings.roles.contains(&Role::Entry) && settings.listen.is_none() {
+        top.wrong(
+            "listen",
+            "missing; the entry role needs front, desk and link".into(),
+        );
+    }
     if !settings.zones.has(&settings.place) {
         let text = format!(
             "zones have no failure domain {}/{}",
@@ -177,6 +202,15 @@
     })
 }
 
+fn control_addrs(fields: &mut Fields<'_>) -> Option<ControlAddrs> {
+    let desk = fields.need("desk", ADDR);
+    let link = fields.need("link", ADDR);
+    Some(ControlAddrs {
+        desk: desk?,
+        link: link?,
+    })
+}
+
 fn replica(fields: &mut Fields<'_>) -> Option<ReplicaAddr> {
     let name = fields.need("name", NAME);
     let link = fields.need("link", ADDR);
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -9,6 +9,7 @@
   "roles": ["entry", "control"],
   "secret": "s",
   "listen": {"front": "127.0.0.1:0", "desk": "127.0.0.1:0", "link": "127.0.0.1:0"},
+  "control_listen": {"desk": "127.0.0.1:0", "link": "127.0.0.1:0"},
   "data_dir": "data",
   "zones": {"regions": [{"name": "zapad", "domains": [{"name": "a"}]}]},
 }"#;
@@ -36,6 +37,19 @@
     insta::assert_snapshot!(faults);
 }
 
+#[test]
+fn a_role_without_its_addresses_is_named() {
+    let bad = r#"{
+  "name": "c1",
+  "place": {"region": "zapad", "domain": "b"},
+  "roles": ["entry", "control"],
+  "secret": "s",
+  "zones": {"regions": [{"name": "zapad", "domains": [{"name": "a"}]}]}
+}"#;
+    let faults = parse_settings("vm.jsonc", bad).expect_err("mistakes");
+    insta::assert_snapshot!(faults);
+}
+
 #[test]
 fn a_broken_file_names_the_place() {
     let faults = parse_settings("vm.jsonc", "{\n  \"name\": }").expect_err("mistakes");
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -1,10 +1,9 @@
 //! Start of the control role.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use anyhow::{Context as _, Result};
-use conf::Settings;
+use conf::{ControlAddrs, Settings};
 use dropshot::HttpServer;
 use peers::{Identity, accept};
 use tokio::net::TcpListener;
@@ -15,10 +14,8 @@
 
 /// A running control role.
 pub struct Control {
-    /// Address of its desk.
-    pub desk_addr: SocketAddr,
-    /// Address of its links.
-    pub link_addr: SocketAddr,
+    /// Addresses that it listens on.
+    pub addrs: ControlAddrs,
     desk: HttpServer<Context>,
     links: JoinHandle<()>,
 }
@@ -30,10 +27,13 @@
 pub async fn start(settings: &Settings) -> Result<Control> {
     let dir = settings.data_dir.clone().context("no data_dir is set")?;
     let keeper = Arc::new(Keeper::open(dir)?);
-    let listener = TcpListener::bind(settings.listen.link)
+    let listen = settings
+        .control_listen
+        .context("no control_listen is set")?;
+    let listener = TcpListener::bind(listen.link)
         .await
-        .with_context(|| format!("could not bind {}", settings.listen.link))?;
-    let link_addr = listener.local_addr()?;
+        .with_context(|| format!("could not bind {}", listen.link))?;
+    let link = listener.local_addr()?;
     let identity = Identity::new(settings.name.clone(), settings.secret.clone());
     let links = tokio::spawn(accept(listener, identity, Arc::clone(&keeper)));
     let context = Context {
@@ -41,10 +41,12 @@
         keeper,
         operator_key_sha256: settings.operator_key_sha256.clone(),
     };
-    let desk = ::desk::start(api(), context, settings.listen.desk)?;
+    let desk = ::desk::start(api(), context, listen.desk)?;
     Ok(Control {
-        desk_addr: desk.local_addr(),
-        link_addr,
+        addrs: ControlAddrs {
+            desk: desk.local_addr(),
+            link,
+        },
         desk,
         links,
     })
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -32,9 +32,10 @@
 /// # Errors
 /// When an address can't be bound.
 pub async fn start(settings: &Settings) -> Result<Entry> {
-    let front_listener = bind(settings.listen.front).await?;
-    let link_listener = bind(settings.listen.link).await?;
-    let desk = ::desk::start(api(), Context::default(), settings.listen.desk)?;
+    let listen = settings.listen.context("no listen is set")?;
+    let front_listener = bind(listen.front).await?;
+    let link_listener = bind(listen.link).await?;
+    let desk = ::desk::start(api(), Context::default(), listen.desk)?;
     let addrs = Addrs {
         front: front_listener.local_addr()?,
         desk: desk.local_addr(),
--- a/crates/waxwingd/src/logs.rs
+++ b/crates/waxwingd/src/logs.rs
@@ -14,6 +14,7 @@
     let machine = machine.clone();
     let mut dispatch = Dispatch::new()
         .level(level(&settings.level)?)
+        .level_for("dropshot", LevelFilter::Warn)
         .format(move |out, message, record| {
             out.finish(format_args!("{}", line(&machine, message, record)));
         })
