Choose backend servers from the owner's own observations

Cause: the request path needs one table that says which backend server takes a piece of work, with slots and connections that are exact.

Tickets are consumed once; a dropped permit gives its slot back.

Ruled out: health reports as a reason to eject (they lag and mislead), and a hard warm-up ramp when no server is warm, which would refuse work while slots are free.

--- /dev/null
+++ b/crates/pick/src/permit.rs
@@ -0,0 +1,118 @@
+//! The fleet shared by the workers, and a slot that is given back when dropped.
+
+use std::sync::Arc;
+
+use tokio::time::Instant;
+use world::{Error, Rank, Ranked, ServiceName};
+
+use crate::choice::{Choice, Policy};
+use crate::fleet::Fleet;
+use crate::work::{ConnectionTicket, NoSlot, Outcome, Ticket, Work};
+
+/// A [`Fleet`] behind its lock.
+#[derive(Debug)]
+pub struct SharedFleet<C = Policy> {
+    table: Arc<Ranked<Fleet<C>>>,
+}
+
+impl<C> Clone for SharedFleet<C> {
+    fn clone(&self) -> Self {
+        Self {
+            table: Arc::clone(&self.table),
+        }
+    }
+}
+
+impl<C: Choice> SharedFleet<C> {
+    /// Shares a fleet.
+    #[must_use]
+    pub fn new(fleet: Fleet<C>) -> Self {
+        Self {
+            table: Arc::new(Ranked::new(Rank::Fleet, fleet)),
+        }
+    }
+
+    /// The table behind its lock.
+    #[must_use]
+    pub fn table(&self) -> &Ranked<Fleet<C>> {
+        &self.table
+    }
+
+    /// Takes a slot that is given back when the permit is dropped.
+    ///
+    /// # Errors
+    /// As [`Fleet::choose`].
+    pub fn acquire(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        work: &Work,
+    ) -> Result<Permit<C>, NoSlot> {
+        let ticket = self.table.lock().choose(now, service, work)?;
+        Ok(Permit {
+            fleet: self.clone(),
+            ticket: Some(ticket),
+        })
+    }
+
+    /// Counts a new connection, which is counted off when the permit is dropped.
+    ///
+    /// # Errors
+    /// As [`Fleet::connect`].
+    pub fn connect(&self, ticket: &Ticket) -> Result<ConnectionPermit<C>, Error> {
+        let ticket = self.table.lock().connect(ticket)?;
+        Ok(ConnectionPermit {
+            fleet: self.clone(),
+            ticket,
+        })
+    }
+}
+
+/// A slot; dropped without an outcome, its work counts as cancelled.
+#[derive(Debug)]
+pub struct Permit<C: Choice = Policy> {
+    fleet: SharedFleet<C>,
+    ticket: Option<Ticket>,
+}
+
+impl<C: Choice> Permit<C> {
+    /// The ticket of the slot.
+    ///
+    /// # Panics
+    /// Never: the ticket is taken only by [`Permit::done`], which consumes the permit.
+    pub fn ticket(&self) -> &Ticket {
+        self.ticket.as_ref().expect("a permit holds its ticket")
+    }
+
+    /// Gives the slot back with an outcome.
+    pub fn done(mut self, now: Instant, outcome: Outcome) {
+        self.release(now, outcome);
+    }
+
+    fn release(&mut self, now: Instant, outcome: Outcome) {
+        if let Some(ticket) = self.ticket.take() {
+            self.fleet.table.lock().done(now, ticket, outcome);
+        }
+    }
+}
+
+impl<C: Choice> Drop for Permit<C> {
+    fn drop(&mut self) {
+        if self.ticket.is_some() {
+            self.release(Instant::now(), Outcome::Cancelled);
+        }
+    }
+}
+
+/// A connection that counts until it is dropped.
+#[derive(Debug)]
+pub struct ConnectionPermit<C: Choice = Policy> {
+    fleet: SharedFleet<C>,
+    ticket: ConnectionTicket,
+}
+
+impl<C: Choice> Drop for ConnectionPermit<C> {
+    fn drop(&mut self) {
+        self.fleet.table.lock().disconnect(&self.ticket);
+    }
+}
