--- /dev/null
+++ b/crates/admit/src/limit.rs
@@ -0,0 +1,187 @@
+//! Plan limits of customers at one entry VM.
+
+use std::collections::HashMap;
+
+use tokio::time::Instant;
+use world::{Contract, CustomerName, Error, Kind, ServiceName};
+
+use crate::bucket::Bucket;
+
+/// Leave to run one request, until it is given back.
+#[derive(Debug)]
+#[must_use = "the request counts as in flight until the pass is released"]
+pub struct Pass {
+    customer: CustomerName,
+    service: ServiceName,
+}
+
+#[derive(Debug)]
+struct Account {
+    bucket: Bucket,
+    rate_per_s: u32,
+    burst: u32,
+    share: f64,
+    in_flight: u32,
+    /// Requests seen, admitted or not, since the demand was last taken.
+    seen: u32,
+    seen_at: Instant,
+}
+
+/// Demand of one customer for one service at this VM.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seen {
+    /// Customer.
+    pub customer: CustomerName,
+    /// Service.
+    pub service: ServiceName,
+    /// Requests a second since the last look, admitted or not.
+    pub rate_per_s: f64,
+}
+
+/// Token buckets and counts in flight, by customer and service.
+#[derive(Debug)]
+pub struct Limits {
+    share: f64,
+    accounts: HashMap<CustomerName, HashMap<ServiceName, Account>>,
+}
+
+impl Limits {
+    /// Nobody has asked yet; `share` of each limit is ours until it is set.
+    #[must_use]
+    pub fn new(share: f64) -> Self {
+        Self {
+            share,
+            accounts: HashMap::new(),
+        }
+    }
+
+    /// Takes one request in under its contract.
+    ///
+    /// # Errors
+    /// [`Kind::OverPlan`] when the rate or the count in flight is used up.
+    pub fn admit(&mut self, now: Instant, contract: &Contract) -> Result<Pass, Error> {
+        let account = self.account(now, contract);
+        account.seen = account.seen.saturating_add(1);
+        if account.in_flight >= contract.usage.in_flight {
+            return Err(over_plan(contract, "requests in flight"));
+        }
+        if !account.bucket.take(now, 1.0) {
+            return Err(over_plan(contract, "requests a second"));
+        }
+        account.in_flight += 1;
+        Ok(Pass {
+            customer: contract.customer.clone(),
+            service: contract.service.name.clone(),
+        })
+    }
+
+    /// Counts a request as ended.
+    pub fn release(&mut self, pass: Pass) {
+        let Pass { customer, service } = pass;
+        let account = self
+            .accounts
+            .get_mut(&customer)
+            .and_then(|services| services.get_mut(&service));
+        if let Some(account) = account {
+            account.in_flight = account.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Sets our share of one customer's limit for one service.
+    pub fn set_share(&mut self, now: Instant, customer: &str, service: &str, share: f64) {
+        let services = self.accounts.get_mut(customer);
+        if let Some(account) = services.and_then(|s| s.get_mut(service)) {
+            account.share = share;
+            account.resize(now);
+        }
+    }
+
+    /// Demand since the last call, by customer and service.
+    pub fn take_seen(&mut self, now: Instant) -> Vec<Seen> {
+        let mut rows = Vec::new();
+        for (customer, services) in &mut self.accounts {
+            for (service, account) in services {
+                rows.push(Seen {
+                    customer: customer.clone(),
+                    service: service.clone(),
+                    rate_per_s: account.take_seen(now),
+                });
+            }
+        }
+        rows.sort_by(|a, b| (&a.customer, &a.service).cmp(&(&b.customer, &b.service)));
+        rows
+    }
+
+    /// Requests of a customer in flight for a service.
+    #[must_use]
+    pub fn in_flight(&self, customer: &str, service: &str) -> u32 {
+        let services = self.accounts.get(customer);
+        services
+            .and_then(|s| s.get(service))
+            .map_or(0, |a| a.in_flight)
+    }
+
+    fn account(&mut self, now: Instant, contract: &Contract) -> &mut Account {
+        let usage = &contract.usage;
+        let share = self.share;
+        if !self.accounts.contains_key(&contract.customer) {
+            self.accounts
+                .insert(contract.customer.clone(), HashMap::new());
+        }
+        let services = self
+            .accounts
+            .get_mut(&contract.customer)
+            .expect("inserted above");
+        let account = services
+            .entry(contract.service.name.clone())
+            .or_insert_with(|| Account::new(now, usage.rate_per_s, usage.burst, share));
+        if (account.rate_per_s, account.burst) != (usage.rate_per_s, usage.burst) {
+            account.rate_per_s = usage.rate_per_s;
+            account.burst = usage.burst;
+            account.resize(now);
+        }
+        account
+    }
+}
+
+impl Account {
+    fn new(now: Instant, rate_per_s: u32, burst: u32, share: f64) -> Self {
+        let bucket = Bucket::new(now, f64::from(rate_per_s) * share, size(burst, share));
+        Self {
+            bucket,
+            rate_per_s,
+            burst,
+            share,
+            in_flight: 0,
+            seen: 0,
+            seen_at: now,
+        }
+    }
+
+    fn resize(&mut self, now: Instant) {
+        let rate_per_s = f64::from(self.rate_per_s) * self.share;
+        self.bucket
+            .resize(now, rate_per_s, size(self.burst, self.share));
+    }
+
+    fn take_seen(&mut self, now: Instant) -> f64 {
+        let age_s = now.saturating_duration_since(self.seen_at).as_secs_f64();
+        let rate_per_s = f64::from(self.seen) / age_s.max(f64::EPSILON);
+        self.seen = 0;
+        self.seen_at = now;
+        rate_per_s
+    }
+}
+
+/// Size of a bucket; below one token nothing would ever pass.
+fn size(burst: u32, share: f64) -> f64 {
+    (f64::from(burst) * share).max(1.0)
+}
+
+fn over_plan(contract: &Contract, what: &str) -> Error {
+    let text = format!(
+        "{} is over its plan's {what} for {}",
+        contract.customer, contract.service.name
+    );
+    Error::new(Kind::OverPlan, text)
+}
