--- a/crates/waxwingd/src/args.rs
+++ b/crates/waxwingd/src/args.rs
@@ -3,22 +3,25 @@
 use std::path::PathBuf;
 
 use anyhow::{Context, Result, bail};
-use lexopt::prelude::{Long, Short, Value};
+use lexopt::prelude::{Long, Short, Value, ValueExt};
 
+use crate::openapi::{self, Desk};
 use crate::{check, run};
 
 const HELP: &str = "\
 waxwingd: one VM of the waxwingchute traffic steering system
 
 Usage: waxwingd [--check] SETTINGS
+       waxwingd --openapi control|entry
 
 Arguments:
   SETTINGS   settings of this VM, JSON with comments
 
 Options:
-  --check    check the settings and end
-  --help     show this text
-  --version  show the version
+  --check          check the settings and end
+  --openapi DESK   print the OpenAPI document of a desk and end
+  --help           show this text
+  --version        show the version
 
 Once it serves, it prints one line of JSON with its addresses.
 SIGTERM: ends what was accepted, then stops; a second one stops at once.";
@@ -29,6 +32,8 @@
     Check(PathBuf),
     /// Show the help.
     Help,
+    /// Print the OpenAPI document of a desk.
+    OpenApi(Desk),
     /// Serve with the settings.
     Run(PathBuf),
     /// Show the version.
@@ -43,6 +48,7 @@
     while let Some(arg) = parser.next()? {
         match arg {
             Long("check") => only_check = true,
+            Long("openapi") => return Ok(Command::OpenApi(parser.value()?.parse()?)),
             Short('h') | Long("help") => return Ok(Command::Help),
             Short('V') | Long("version") => return Ok(Command::Version),
             Value(path) if settings.is_none() => settings = Some(PathBuf::from(path)),
@@ -62,6 +68,7 @@
         match self {
             Self::Check(path) => return check::run(&path),
             Self::Help => println!("{HELP}"),
+            Self::OpenApi(desk) => return openapi::run(desk),
             Self::Run(path) => return run::run(&path),
             Self::Version => println!("waxwingd {}", env!("CARGO_PKG_VERSION")),
         }
--- a/crates/waxwingd/src/main.rs
+++ b/crates/waxwingd/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod check;
 mod logs;
+mod openapi;
 mod run;
 
 use std::process::ExitCode;
