Test the choice of backend servers and choose the cheapest of all

Cause: an owner counts its servers' slots exactly, so the herding that two choices guard against can't arise, while a draw of two slow servers can.

The cheapest of all is the default, the others stay selectable.

The property test of the counts found that a row removed after its lease forgot the incarnation, so that a late announcement of an earlier process joined again; rows now outlive their lease. It found warm-up of 0 ms to leave one slot open as well. Load reports count for at most the slots.

--- a/crates/pick/src/choice.rs
+++ b/crates/pick/src/choice.rs
@@ -41,6 +41,22 @@
     }
 }
 
+/// The cheapest of all, from a random start so that equals take turns.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LeastCost;
+
+impl Choice for LeastCost {
+    fn choose(&self, rng: &mut SmallRng, _last: Option<usize>, candidates: &[Candidate]) -> usize {
+        let count = candidates.len();
+        let start = rng.random_range(0..count);
+        let from_start = (0..count).map(|step| (start + step) % count);
+        let cost_s = |at: &usize| candidates[*at].cost_s;
+        from_start
+            .min_by(|a, b| cost_s(a).total_cmp(&cost_s(b)))
+            .unwrap_or(start)
+    }
+}
+
 /// Baseline: each server in its turn.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RoundRobin;
@@ -56,8 +72,10 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Policy {
-    /// [`TwoChoices`].
+    /// [`LeastCost`].
     #[default]
+    LeastCost,
+    /// [`TwoChoices`].
     TwoChoices,
     /// [`RoundRobin`].
     RoundRobin,
@@ -67,6 +85,7 @@
     fn choose(&self, rng: &mut SmallRng, last: Option<usize>, candidates: &[Candidate]) -> usize {
         match self {
             Self::TwoChoices => TwoChoices.choose(rng, last, candidates),
+            Self::LeastCost => LeastCost.choose(rng, last, candidates),
             Self::RoundRobin => RoundRobin.choose(rng, last, candidates),
         }
     }
--- a/crates/pick/src/fleet.rs
+++ b/crates/pick/src/fleet.rs
@@ -100,12 +100,16 @@
         Announced::Restarted
     }
 
-    /// Removes servers whose lease has ended and whose work is done.
+    /// Removes servers whose lease ended long ago and whose work is done.
+    ///
+    /// A row outlives its lease, so that a late announcement of an earlier
+    /// process is still known as such.
     pub fn expire(&mut self, now: Instant) {
+        let memory = ms(self.settings.forget_ms);
         for group in self.groups.values_mut() {
             group
                 .servers
-                .retain(|s| now < s.lease_until || !s.running.is_empty() || s.connections > 0);
+                .retain(|s| now < s.lease_until + memory || s.is_in_use());
         }
         self.groups.retain(|_, group| !group.servers.is_empty());
     }
@@ -238,13 +242,15 @@
         (count > 0.0).then(|| sum_s / count)
     }
 
-    /// Every server, by service and name.
+    /// Every server with a lease or work, by service and name.
     #[must_use]
     pub fn view(&self, now: Instant) -> Vec<(ServiceName, ServerView)> {
         let mut rows: Vec<_> = self
             .groups
             .iter()
-            .flat_map(|(service, g)| g.servers.iter().map(|s| (service.clone(), view(now, s))))
+            .flat_map(|(service, g)| g.servers.iter().map(move |s| (service, s)))
+            .filter(|(_, s)| now < s.lease_until || s.is_in_use())
+            .map(|(service, s)| (service.clone(), view(now, s)))
             .collect();
         rows.sort_by(|a, b| (&a.0, &a.1.name).cmp(&(&b.0, &b.1.name)));
         rows
--- a/crates/pick/src/hedge.rs
+++ b/crates/pick/src/hedge.rs
@@ -1,6 +1,7 @@
 //! Hedging: a second attempt elsewhere when the first is late.
 
 use std::collections::HashMap;
+use std::sync::LazyLock;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -123,8 +124,8 @@
 
 impl Quantiles {
     fn record(&mut self, sample: Duration) {
-        let at = (0..BUCKETS).find(|i| sample <= bucket_end(*i));
-        let at = at.unwrap_or(BUCKETS - 1);
+        let at = BUCKET_ENDS.partition_point(|end| *end < sample);
+        let at = at.min(BUCKETS - 1);
         self.counts[at] += 1;
         self.total += 1;
         if self.total >= SAMPLES_MAX {
@@ -139,14 +140,16 @@
         for (at, count) in self.counts.iter().enumerate() {
             below += count;
             if f64::from(below) >= wanted {
-                return bucket_end(at);
+                return BUCKET_ENDS[at];
             }
         }
-        bucket_end(BUCKETS - 1)
+        BUCKET_ENDS[BUCKETS - 1]
     }
 }
 
-fn bucket_end(at: usize) -> Duration {
-    let doublings = f64::from(u32::try_from(at).unwrap_or(u32::MAX)) / BUCKETS_PER_DOUBLING;
-    Duration::from_micros(1).mul_f64(doublings.exp2())
-}
+/// Longest latency of each bucket.
+static BUCKET_ENDS: LazyLock<Vec<Duration>> = LazyLock::new(|| {
+    let doublings = (0_u32..).map(|at| f64::from(at) / BUCKETS_PER_DOUBLING);
+    let ends = doublings.map(|d| Duration::from_micros(1).mul_f64(d.exp2()));
+    ends.take(BUCKETS).collect()
+});
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod work;
 
 pub use budget::{ATTEMPTS_MAX, Budget, BudgetSettings, Retry, RetryBudget};
-pub use choice::{Candidate, Choice, Policy, RoundRobin, TwoChoices};
+pub use choice::{Candidate, Choice, LeastCost, Policy, RoundRobin, TwoChoices};
 pub use fleet::{Announced, Fleet, ServerView};
 pub use hedge::{Hedge, HedgeSettings};
 pub use latency::Latency;
--- a/crates/pick/src/server.rs
+++ b/crates/pick/src/server.rs
@@ -11,6 +11,9 @@
 use crate::settings::FleetSettings;
 use crate::work::{Crash, Fingerprint, Outcome};
 
+/// Weight of a fresh load report beside our own count.
+const REPORT_WEIGHT: f64 = 0.5;
+
 /// Broken work that is remembered until a sign of a crash.
 const BROKEN_MAX: usize = 64;
 
@@ -89,6 +92,11 @@
             && self.owned_from.is_some_and(|from| now >= from)
     }
 
+    /// Whether it has work or connections of ours.
+    pub fn is_in_use(&self) -> bool {
+        !self.running.is_empty() || self.connections > 0
+    }
+
     /// Work that holds a slot, as a count.
     pub fn in_flight(&self) -> u32 {
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
@@ -102,13 +110,11 @@
 
     /// Slots open to new work while the server warms up.
     pub fn open_slots(&self, now: Instant, settings: &FleetSettings) -> u32 {
-        let Some(since) = self.cold_since else {
+        let Some(since) = self.cold_since.filter(|_| self.is_cold(now, settings)) else {
             return self.info.slots;
         };
-        let warmup = ms(settings.warmup_ms).max(Duration::from_millis(1));
-        let warm = now
-            .saturating_duration_since(since)
-            .div_duration_f64(warmup);
+        let open = now.saturating_duration_since(since);
+        let warm = open.div_duration_f64(ms(settings.warmup_ms));
         ramp(self.info.slots, warm)
     }
 
@@ -193,7 +199,7 @@
         let others = (load.running + load.queued).saturating_sub(self.in_flight());
         let age = now.saturating_duration_since(self.reported_at) + ms(load.age_ms);
         let half_lives = age.div_duration_f64(ms(settings.report_half_life_ms.max(1)));
-        f64::from(others) * 0.5 * (-half_lives).exp2()
+        f64::from(others.min(self.info.slots)) * REPORT_WEIGHT * (-half_lives).exp2()
     }
 
     fn oldest_short_s(&self, now: Instant, straggler_after: Duration) -> f64 {
--- a/crates/pick/src/settings.rs
+++ b/crates/pick/src/settings.rs
@@ -8,6 +8,8 @@
 pub struct FleetSettings {
     /// Time that an announcement is good for, milliseconds.
     pub lease_ms: u64,
+    /// Time after its lease for which a server's incarnation is remembered, milliseconds.
+    pub forget_ms: u64,
     /// Time over which a cold server's slots open, milliseconds.
     pub warmup_ms: u64,
     /// Time over which an observed latency fades, milliseconds.
@@ -42,12 +44,13 @@
     fn default() -> Self {
         Self {
             lease_ms: 3_000,
+            forget_ms: 600_000,
             warmup_ms: 5_000,
             latency_decay_ms: 1_000,
             report_half_life_ms: 1_000,
             straggler_min_ms: 250,
             straggler_factor: 8.0,
-            long_share: 0.67,
+            long_share: 0.5,
             short_memory_ms: 10_000,
             eject_failures: 5,
             eject_share: 0.34,
--- /dev/null
+++ b/crates/pick/tests/poison.rs
@@ -0,0 +1,131 @@
+//! Requests that crash the servers that run them.
+
+mod support;
+
+use std::time::Duration;
+
+use pick::{Crash, Fingerprint, FleetSettings, Outcome, Poison, PoisonSettings, Verdict};
+use support::{fleet, server, server_name, service, short};
+use tokio::time::Instant;
+use world::BackendServer;
+
+const POISON: Fingerprint = Fingerprint(666);
+const INNOCENT: Fingerprint = Fingerprint(1);
+
+fn crash(server: u32, ran: &[Fingerprint]) -> Crash {
+    Crash::new(&server_name(server), 1, ran.to_vec()).expect("something ran")
+}
+
+#[test]
+fn crashes_name_what_ran() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut fleet = fleet(start, FleetSettings::default(), 1, 4);
+    let tickets: Vec<_> = (0..3)
+        .map(|n| fleet.choose(start, &service(), &short(n)).expect("slot"))
+        .collect();
+    let mut outcomes = [Outcome::Answered, Outcome::Broken, Outcome::Cancelled].into_iter();
+    for ticket in tickets {
+        fleet.done(at(1), ticket, outcomes.next().expect("outcome"));
+    }
+    let _running = fleet.choose(at(2), &service(), &short(9)).expect("slot");
+    let refused = fleet.choose(at(2), &service(), &short(5)).expect("slot");
+    fleet.done(at(3), refused, Outcome::ConnectFailed);
+    let by_refusal = fleet.take_crashes();
+    fleet.announce(
+        at(4),
+        &BackendServer {
+            incarnation: 2,
+            ..server(0, 4)
+        },
+    );
+    let by_restart = fleet.take_crashes();
+    let nothing = fleet.take_crashes();
+    insta::assert_debug_snapshot!((by_refusal, by_restart, nothing));
+}
+
+#[test]
+fn second_crash_convicts() {
+    let now = Instant::now();
+    let mut poison = Poison::new(PoisonSettings::default());
+    let verdict = |poison: &Poison| [poison.check(now, POISON), poison.check(now, INNOCENT)];
+    let mut rows = vec![("nothing seen", verdict(&poison))];
+    poison.crashed(now, &crash(0, &[POISON, INNOCENT]));
+    rows.push(("one crash", verdict(&poison)));
+    poison.crashed(now, &crash(0, &[POISON]));
+    rows.push(("more news of that crash", verdict(&poison)));
+    poison.passed(now, INNOCENT);
+    rows.push(("the innocent one ran alone", verdict(&poison)));
+    poison.crashed(now, &crash(1, &[POISON]));
+    rows.push(("second crash", verdict(&poison)));
+    let later = now + Duration::from_secs(600);
+    assert_eq!(poison.check(later, POISON), Verdict::Clean);
+    insta::assert_debug_snapshot!(rows);
+}
+
+#[test]
+fn two_suspects_in_one_crash_convict_nobody() {
+    let now = Instant::now();
+    let mut poison = Poison::new(PoisonSettings::default());
+    poison.crashed(now, &crash(0, &[POISON, INNOCENT]));
+    poison.crashed(now, &crash(1, &[POISON, INNOCENT]));
+    assert_eq!(poison.check(now, INNOCENT), Verdict::Alone);
+    assert_eq!(poison.check(now, POISON), Verdict::Alone);
+}
+
+#[test]
+fn marks_travel_with_the_time_they_have_left() {
+    let start = Instant::now();
+    let at = |s| start + Duration::from_secs(s);
+    let mut here = Poison::new(PoisonSettings::default());
+    let mut there = Poison::new(PoisonSettings::default());
+    here.crashed(start, &crash(0, &[POISON, INNOCENT]));
+    let text = serde_json::to_string(&here.marks(at(20))).expect("text");
+    there.merge(
+        at(20),
+        &serde_json::from_str::<Vec<_>>(&text).expect("marks"),
+    );
+    let alone = there.check(at(21), POISON);
+    there.passed(at(22), INNOCENT);
+    there.merge(at(23), &here.marks(at(23)));
+    let acquitted = there.check(at(23), INNOCENT);
+    there.crashed(at(24), &crash(7, &[POISON]));
+    here.merge(at(25), &there.marks(at(25)));
+    let convicted = here.check(at(25), POISON);
+    insta::assert_debug_snapshot!((text, alone, acquitted, convicted));
+}
+
+#[test]
+fn suspect_runs_alone_and_is_not_starved() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let settings = FleetSettings {
+        warmup_ms: 0,
+        ..FleetSettings::default()
+    };
+    let mut fleet = fleet(start, settings, 2, 2);
+    let mut busy: Vec<_> = (0..4)
+        .map(|n| fleet.choose(start, &service(), &short(n)).expect("slot"))
+        .collect();
+    let suspect = short(666).with_alone(true);
+    let mut waited = 0;
+    let ticket = loop {
+        match fleet.choose(at(waited), &service(), &suspect) {
+            Ok(ticket) => break ticket,
+            Err(_) => waited += 1,
+        }
+        // Every slot that frees is asked for at once by other work.
+        if let Some(ended) = (!busy.is_empty()).then(|| busy.remove(0)) {
+            fleet.done(at(waited), ended, Outcome::Answered);
+        }
+        busy.extend(fleet.choose(at(waited), &service(), &short(waited)));
+    };
+    let server = ticket.server().clone();
+    let beside = busy.iter().filter(|t| *t.server() == server).count();
+    while let Ok(ticket) = fleet.choose(at(waited), &service(), &short(0)) {
+        assert_ne!(*ticket.server(), server, "work beside a suspect");
+        busy.push(ticket);
+    }
+    assert_eq!(beside, 0);
+    assert!(waited < 10, "waited for {waited} answers");
+}
--- /dev/null
+++ b/crates/pick/tests/slowed.rs
@@ -0,0 +1,69 @@
+//! Latency of short work while some backend servers are slowed, by policy.
+
+mod support;
+
+use pick::Policy;
+use support::sim::{Plan, run};
+
+fn policies() -> [(&'static str, Policy, bool); 5] {
+    [
+        ("round robin", Policy::RoundRobin, false),
+        ("two choices", Policy::TwoChoices, false),
+        ("two choices, hedges", Policy::TwoChoices, true),
+        ("least cost", Policy::LeastCost, false),
+        ("least cost, hedges", Policy::LeastCost, true),
+    ]
+}
+
+fn rows(plan: &Plan, slowed: &[u32]) -> String {
+    let mut rows = Vec::new();
+    for slowed in slowed {
+        for (name, policy, hedging) in policies() {
+            let plan = Plan {
+                policy,
+                hedging,
+                slowed: *slowed,
+                ..plan.clone()
+            };
+            rows.push(format!("{slowed:>2} slowed, {name:20} {}", run(&plan)));
+        }
+    }
+    rows.join("\n")
+}
+
+#[test]
+fn whole_service() {
+    let plan = Plan {
+        servers: 20,
+        ..Plan::default()
+    };
+    insta::assert_snapshot!(rows(&plan, &[0, 2, 5]));
+}
+
+#[test]
+fn servers_of_one_owner() {
+    insta::assert_snapshot!(rows(&Plan::default(), &[0, 1]));
+}
+
+#[test]
+fn stragglers() {
+    let plan = Plan {
+        straggler_one_in: 200,
+        ..Plan::default()
+    };
+    insta::assert_snapshot!(rows(&plan, &[0]));
+}
+
+#[test]
+fn quarter_slowed_stays_near_none_slowed() {
+    let plan = Plan {
+        servers: 20,
+        ..Plan::default()
+    };
+    let none = run(&plan).short_us(0.99);
+    let quarter = run(&Plan { slowed: 5, ..plan }).short_us(0.99);
+    assert!(
+        quarter * 2 <= none * 3,
+        "{quarter} us is above 1.5 × {none} us"
+    );
+}
--- /dev/null
+++ b/crates/pick/tests/support/mod.rs
@@ -0,0 +1,46 @@
+//! Names, servers and a small simulation of one owner's backend servers.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+pub mod sim;
+
+use pick::{Fingerprint, Fleet, FleetSettings, Policy, Work};
+use tokio::time::Instant;
+use world::{BackendServer, Class, Lifecycle, Load, Place, ServerName, ServiceName};
+
+pub fn service() -> ServiceName {
+    ServiceName::new("terminy").expect("name")
+}
+
+pub fn server_name(number: u32) -> ServerName {
+    ServerName::new(&format!("s{number:02}")).expect("name")
+}
+
+pub fn server(number: u32, slots: u32) -> BackendServer {
+    BackendServer {
+        name: server_name(number),
+        service: service(),
+        place: Place::new("zapad".parse().expect("name"), "a".parse().expect("name")),
+        addr: "127.0.0.1:9".parse().expect("address"),
+        slots,
+        connections: 400,
+        incarnation: 1,
+        lifecycle: Lifecycle::Serving,
+        load: Load::default(),
+    }
+}
+
+pub fn fleet(now: Instant, settings: FleetSettings, count: u32, slots: u32) -> Fleet {
+    let mut fleet = Fleet::new(settings, Policy::default(), 7);
+    for number in 0..count {
+        fleet.announce(now, &server(number, slots));
+    }
+    fleet
+}
+
+pub fn short(number: u64) -> Work {
+    Work::new(Class::Short, Fingerprint(number))
+}
+
+pub fn long(number: u64) -> Work {
+    Work::new(Class::Long, Fingerprint(number))
+}
--- /dev/null
+++ b/crates/pick/tests/support/sim.rs
@@ -0,0 +1,306 @@
+//! One owner, its backend servers and a stream of work, on made-up time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::fmt;
+use std::time::Duration;
+
+use pick::{Fleet, FleetSettings, Hedge, HedgeSettings, Outcome, Policy, Ticket, Work};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use tokio::time::Instant;
+use world::Class;
+
+use super::{long, server, server_name, service, short};
+
+/// What is simulated.
+#[derive(Clone)]
+pub struct Plan {
+    pub policy: Policy,
+    pub hedging: bool,
+    pub settings: FleetSettings,
+    pub servers: u32,
+    pub slots: u32,
+    /// Servers slowed by [`SLOWED_FACTOR`], from the first.
+    pub slowed: u32,
+    /// Short work as a share of the capacity for it.
+    pub load: f64,
+    /// One in so many is long; 0: none.
+    pub long_one_in: u64,
+    /// One short piece in so many is a straggler; 0: none.
+    pub straggler_one_in: u64,
+    pub pieces: u64,
+    pub seed: u64,
+}
+
+pub const SHORT_MEAN_US: f64 = 10_000.0;
+pub const LONG_MEAN_US: f64 = 500_000.0;
+pub const SLOWED_FACTOR: f64 = 5.0;
+pub const STRAGGLER_FACTOR: f64 = 100.0;
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            policy: Policy::default(),
+            hedging: true,
+            settings: FleetSettings::default(),
+            servers: 4,
+            slots: 10,
+            slowed: 0,
+            load: 0.5,
+            long_one_in: 0,
+            straggler_one_in: 0,
+            pieces: 10_000,
+            seed: 1,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    Arrive,
+    Finish(u64, usize),
+    Hedge(u64),
+}
+
+struct Piece {
+    work: Work,
+    at_us: u64,
+    base_us: f64,
+    attempts: Vec<Option<Ticket>>,
+    finished: bool,
+}
+
+/// What came out.
+#[derive(Default)]
+pub struct Report {
+    short_us: Vec<u64>,
+    long_us: Vec<u64>,
+    pub hedges: u64,
+    pub attempts: u64,
+}
+
+struct Sim {
+    plan: Plan,
+    start: Instant,
+    fleet: Fleet,
+    hedge: Hedge,
+    rng: SmallRng,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    next_event: u64,
+    pieces: BTreeMap<u64, Piece>,
+    waiting: VecDeque<u64>,
+    arrived: u64,
+    report: Report,
+}
+
+pub fn run(plan: &Plan) -> Report {
+    let start = Instant::now();
+    let settings = FleetSettings {
+        lease_ms: 1_000_000,
+        warmup_ms: 0,
+        ..plan.settings.clone()
+    };
+    let mut fleet = Fleet::new(settings, plan.policy, plan.seed);
+    for number in 0..plan.servers {
+        fleet.announce(start, &server(number, plan.slots));
+    }
+    let hedging = HedgeSettings {
+        enabled: plan.hedging,
+        ..HedgeSettings::default()
+    };
+    let mut sim = Sim {
+        plan: plan.clone(),
+        start,
+        fleet,
+        hedge: Hedge::new(hedging),
+        rng: SmallRng::seed_from_u64(plan.seed),
+        events: BinaryHeap::new(),
+        next_event: 0,
+        pieces: BTreeMap::new(),
+        waiting: VecDeque::new(),
+        arrived: 0,
+        report: Report::default(),
+    };
+    sim.schedule(0, Event::Arrive);
+    while let Some(Reverse((at_us, _, event))) = sim.events.pop() {
+        match event {
+            Event::Arrive => sim.arrive(at_us),
+            Event::Finish(id, attempt) => sim.finish(at_us, id, attempt),
+            Event::Hedge(id) => sim.hedge(at_us, id),
+        }
+    }
+    sim.report
+}
+
+impl Sim {
+    fn schedule(&mut self, at_us: u64, event: Event) {
+        self.next_event += 1;
+        self.events.push(Reverse((at_us, self.next_event, event)));
+    }
+
+    fn now(&self, at_us: u64) -> Instant {
+        self.start + Duration::from_micros(at_us)
+    }
+
+    fn exponential_us(&mut self, mean_us: f64) -> f64 {
+        -mean_us * (1.0 - self.rng.random::<f64>()).ln()
+    }
+
+    fn one_in(&mut self, count: u64) -> bool {
+        count > 0 && self.rng.random_range(0..count) == 0
+    }
+
+    fn arrive(&mut self, at_us: u64) {
+        let id = self.arrived;
+        self.arrived += 1;
+        let is_long = self.one_in(self.plan.long_one_in);
+        let (work, mean_us) = if is_long {
+            (long(id), LONG_MEAN_US)
+        } else if self.one_in(self.plan.straggler_one_in) {
+            (short(id), SHORT_MEAN_US * STRAGGLER_FACTOR)
+        } else {
+            (short(id), SHORT_MEAN_US)
+        };
+        let base_us = self.exponential_us(mean_us);
+        let piece = Piece {
+            work,
+            at_us,
+            base_us,
+            attempts: Vec::new(),
+            finished: false,
+        };
+        self.pieces.insert(id, piece);
+        if !self.dispatch(at_us, id) {
+            self.waiting.push_back(id);
+        }
+        if self.arrived < self.plan.pieces {
+            let slots = f64::from(self.plan.servers * self.plan.slots);
+            let gap_us = self.exponential_us(SHORT_MEAN_US / slots / self.plan.load);
+            self.schedule(at_us + whole(gap_us), Event::Arrive);
+        }
+    }
+
+    fn dispatch(&mut self, at_us: u64, id: u64) -> bool {
+        let now = self.now(at_us);
+        let piece = &self.pieces[&id];
+        let Ok(ticket) = self.fleet.choose(now, &service(), &piece.work) else {
+            return false;
+        };
+        let slowed = (0..self.plan.slowed).any(|n| *ticket.server() == server_name(n));
+        let factor = if slowed { SLOWED_FACTOR } else { 1.0 };
+        // A second attempt meets other neighbours: its time is drawn anew.
+        let base_us = if piece.attempts.is_empty() {
+            piece.base_us
+        } else {
+            self.exponential_us(SHORT_MEAN_US)
+        };
+        let piece = self.pieces.get_mut(&id).expect("piece");
+        let attempt = piece.attempts.len();
+        piece.work.avoid.push(ticket.server().clone());
+        piece.attempts.push(Some(ticket));
+        self.report.attempts += 1;
+        self.schedule(at_us + whole(base_us * factor), Event::Finish(id, attempt));
+        if attempt == 0
+            && let Some(delay) = self.hedge.delay(&service(), &self.pieces[&id].work)
+        {
+            let delay_us = u64::try_from(delay.as_micros()).expect("small");
+            self.schedule(at_us + delay_us, Event::Hedge(id));
+        }
+        true
+    }
+
+    fn hedge(&mut self, at_us: u64, id: u64) {
+        if self.pieces.get(&id).is_some_and(|p| !p.finished)
+            && self.hedge.spend()
+            && self.dispatch(at_us, id)
+        {
+            self.report.hedges += 1;
+        }
+    }
+
+    fn finish(&mut self, at_us: u64, id: u64, attempt: usize) {
+        let now = self.now(at_us);
+        let Some(mut piece) = self.pieces.remove(&id) else {
+            return;
+        };
+        let first_at = piece.attempts[0].as_ref().expect("held").started_at();
+        for (number, ticket) in piece.attempts.drain(..).enumerate() {
+            let outcome = if number == attempt {
+                Outcome::Answered
+            } else {
+                Outcome::Cancelled
+            };
+            self.fleet.done(now, ticket.expect("held"), outcome);
+        }
+        let taken_us = at_us - piece.at_us;
+        if piece.work.class == Class::Short {
+            self.hedge.record(&service(), now - first_at);
+            self.report.short_us.push(taken_us);
+        } else {
+            self.report.long_us.push(taken_us);
+        }
+        self.drain_waiting(at_us);
+    }
+
+    fn drain_waiting(&mut self, at_us: u64) {
+        let waiting: Vec<u64> = self.waiting.drain(..).collect();
+        let mut held = [false; 2];
+        for id in waiting {
+            let class = usize::from(self.pieces[&id].work.class == Class::Long);
+            if held[class] || !self.dispatch(at_us, id) {
+                held[class] = true;
+                self.waiting.push_back(id);
+            }
+        }
+    }
+}
+
+impl Report {
+    /// Time of a quantile of short work, microseconds.
+    pub fn short_us(&self, share: f64) -> u64 {
+        quantile(&self.short_us, share)
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ms = |all: &[u64], share| quantile(all, share) / 1_000;
+        write!(
+            f,
+            "short p50 {:>3} ms, p99 {:>4} ms, p99.9 {:>4} ms",
+            ms(&self.short_us, 0.5),
+            ms(&self.short_us, 0.99),
+            ms(&self.short_us, 0.999)
+        )?;
+        if !self.long_us.is_empty() {
+            write!(
+                f,
+                "; long p50 {} ms, p99 {} ms",
+                ms(&self.long_us, 0.5),
+                ms(&self.long_us, 0.99)
+            )?;
+        }
+        write!(f, "; {} hedges in {} attempts", self.hedges, self.attempts)
+    }
+}
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole(us: f64) -> u64 {
+    us as u64
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss
+)]
+fn quantile(all: &[u64], share: f64) -> u64 {
+    let mut sorted = all.to_vec();
+    sorted.sort_unstable();
+    let at = (sorted.len() as f64 * share) as usize;
+    sorted
+        .get(at.min(sorted.len().saturating_sub(1)))
+        .copied()
+        .unwrap_or(0)
+}
--- /dev/null
+++ b/crates/pick/tests/trust.rs
@@ -0,0 +1,116 @@
+//! Trust in pooled connections, hedges and retry budgets.
+
+mod support;
+
+use std::time::Duration;
+
+use pick::{
+    BudgetSettings, ConnectionAge, Hedge, HedgeSettings, Retry, RetryBudget, Trust, TrustSettings,
+};
+use support::{long, server_name, service, short};
+use tokio::time::Instant;
+
+#[test]
+fn connections_are_trusted_for_a_short_time() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut trust = Trust::new(TrustSettings::default());
+    let age = |opened, last| ConnectionAge {
+        opened_at: at(opened),
+        last_byte_at: at(last),
+    };
+    let server = server_name(0);
+    let once = short(0).with_idempotent(false);
+    let mut rows = Vec::new();
+    for idle_ms in [0, 99, 100, 1_999, 2_000] {
+        let again = trust.allows(at(1_000 + idle_ms), &server, age(0, 1_000), &short(0));
+        let once = trust.allows(at(1_000 + idle_ms), &server, age(0, 1_000), &once);
+        rows.push(format!(
+            "idle {idle_ms} ms: idempotent {again}, once {once}"
+        ));
+    }
+    trust.silent(&server, at(5_000));
+    for (what, age) in [
+        ("older, last byte before", age(0, 4_900)),
+        ("older, byte since", age(0, 5_001)),
+        ("opened since", age(5_001, 5_001)),
+    ] {
+        let here = trust.allows(at(5_100), &server, age, &short(0));
+        let other = trust.allows(at(5_100), &server_name(1), age, &short(0));
+        rows.push(format!(
+            "sibling {what}: {here}, of another server: {other}"
+        ));
+    }
+    insta::assert_snapshot!(rows.join("\n"));
+}
+
+#[test]
+fn hedges_come_after_a_learned_delay_on_a_budget() {
+    let mut hedge = Hedge::new(HedgeSettings {
+        budget: BudgetSettings {
+            share: 0.05,
+            burst: 2.0,
+        },
+        ..HedgeSettings::default()
+    });
+    let before = hedge.delay(&service(), &short(0));
+    for ms in 1..=100 {
+        hedge.record(&service(), Duration::from_millis(ms / 10 + 10));
+    }
+    let learned = hedge.delay(&service(), &short(0));
+    let long = hedge.delay(&service(), &long(0));
+    let once = hedge.delay(&service(), &short(0).with_idempotent(false));
+    let alone = hedge.delay(&service(), &short(0).with_alone(true));
+    let mut sent = 0;
+    for _ in 0..1_000 {
+        let _ = hedge.delay(&service(), &short(0));
+        sent += u32::from(hedge.spend());
+    }
+    insta::assert_debug_snapshot!((before, learned, long, once, alone, sent));
+}
+
+#[test]
+fn retries_need_budget_time_and_leave() {
+    let now = Instant::now();
+    let settings = BudgetSettings {
+        share: 0.1,
+        burst: 2.0,
+    };
+    let good = Retry {
+        may_run_again: true,
+        attempts: 1,
+        deadline: now + Duration::from_millis(100),
+        expected: Duration::from_millis(10),
+    };
+    let mut budget = RetryBudget::new(settings);
+    let refused = [
+        budget.allow(
+            now,
+            &Retry {
+                may_run_again: false,
+                ..good
+            },
+        ),
+        budget.allow(
+            now,
+            &Retry {
+                attempts: 3,
+                ..good
+            },
+        ),
+        budget.allow(
+            now,
+            &Retry {
+                deadline: now + good.expected,
+                ..good
+            },
+        ),
+    ];
+    let burst: Vec<_> = (0..3).map(|_| budget.allow(now, &good)).collect();
+    let mut allowed = 0;
+    for _ in 0..1_000 {
+        budget.earn();
+        allowed += u32::from(budget.allow(now, &good));
+    }
+    insta::assert_debug_snapshot!((refused, burst, allowed));
+}
