Let an entry VM's status name machines and backend servers

Cause: operators need the desks of the other entry VMs, and which backend servers there are, to see where a change is in force and whether a drain takes the last server of a service.

Ruled out: a second endpoint; the status already counted both.

Before: names and a count. After: whole objects.

--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -69,9 +69,9 @@
     /// Version of the configuration in force here.
     pub config_version: u64,
     /// Entry VMs known and alive.
-    pub entries: Vec<MachineName>,
-    /// Backend servers with a live lease here.
-    pub servers: usize,
+    pub entries: Vec<EntryVm>,
+    /// Backend servers with a live lease here, by name.
+    pub servers: Vec<BackendServer>,
 }
 
 /// The API of the desk.
@@ -147,7 +147,7 @@
     Ok(HttpResponseOk(Status {
         name: state.me.name.clone(),
         config_version: state.version(),
-        entries: live.into_iter().map(|vm| vm.name).collect(),
+        entries: live,
         servers: state.leases.lock().live(now),
     }))
 }
--- a/crates/entry/src/leases.rs
+++ b/crates/entry/src/leases.rs
@@ -79,9 +79,12 @@
         }
     }
 
-    /// Backend servers with a live lease.
+    /// Backend servers with a live lease, by name.
     #[must_use]
-    pub fn live(&self, now: Instant) -> usize {
-        self.table.values().filter(|l| l.ends_at > now).count()
+    pub fn live(&self, now: Instant) -> Vec<BackendServer> {
+        let live = self.table.values().filter(|l| l.ends_at > now);
+        let mut servers: Vec<_> = live.map(|l| l.server.as_ref().clone()).collect();
+        servers.sort_by(|a, b| a.name.cmp(&b.name));
+        servers
     }
 }
