Add waxwingctl: check, apply, show, drain, undrain, status, load

Cause: operators need one tool with exit codes for scripts.

Conclusion: what the tool does against live processes is for the tests of processes.

--- a/crates/rig/src/server/order.rs
+++ b/crates/rig/src/server/order.rs
@@ -14,6 +14,9 @@
 /// When to send again.
 pub const RETRY_AFTER: &str = "retry-after-ms";
 
+/// Path that was run, so that callers can tell whose answer they got.
+pub const PATH_ECHO: &str = "x-rig-path";
+
 const DEADLINE: &str = "x-waxwing-deadline-ms";
 const FENCE: &str = "x-waxwing-fence";
 const KEY: &str = "idempotency-key";
--- a/crates/rig/src/server/serve.rs
+++ b/crates/rig/src/server/serve.rs
@@ -20,7 +20,7 @@
 use super::behaviour::{Fate, Health};
 use super::body::{Body, Download};
 use super::gate::{Ticket, Turned};
-use super::order::{Order, RAN, REQUEST, RETRY_AFTER};
+use super::order::{Order, PATH_ECHO, RAN, REQUEST, RETRY_AFTER};
 use super::state::State;
 
 /// Largest body that a request may bring.
@@ -235,5 +235,8 @@
     {
         headers.insert(REQUEST, id);
     }
+    if let Ok(path) = header::HeaderValue::from_str(&order.path) {
+        headers.insert(PATH_ECHO, path);
+    }
     response
 }
--- /dev/null
+++ b/crates/waxwingctl/src/cmd/show.rs
@@ -0,0 +1,124 @@
+//! `waxwingctl show`: shows the configuration in force.
+
+use lexopt::prelude::*;
+use world::{Config, Drain};
+
+use super::options::Options;
+use super::{Outcome, print_json};
+use crate::table::lay_out;
+
+const HELP: &str = "\
+Show the configuration in force
+
+Usage: waxwingctl show --control ADDR --key-file FILE [OPTIONS]
+
+Options:
+  --control ADDR    Desk of a control VM; may be given more than once
+  --key-file FILE   File with the operator's key
+  --json            Print the whole configuration as JSON
+";
+
+/// Runs the subcommand.
+///
+/// # Errors
+/// Wrong usage, a refusal, or that no control VM could be reached.
+pub async fn run(mut args: lexopt::Parser) -> Outcome {
+    let mut options = Options::new("show");
+    while let Some(arg) = options.next(&mut args)? {
+        match arg {
+            Short('h') | Long("help") => {
+                print!("{HELP}");
+                return Ok(());
+            }
+            Long(name) => {
+                let name = name.to_owned();
+                options.take(&name, &mut args)?;
+            }
+            Short(_) | Value(_) => return Err(options.wrong(arg.unexpected())),
+        }
+    }
+    let config = options.control()?.config().await?;
+    if options.json {
+        print_json(&config);
+    } else {
+        print!("{}", text_of(&config));
+    }
+    Ok(())
+}
+
+/// The configuration as tables.
+fn text_of(config: &Config) -> String {
+    let drains: Vec<String> = config.drains.iter().map(name_of).collect();
+    let drains = if drains.is_empty() {
+        "none".to_owned()
+    } else {
+        drains.join(", ")
+    };
+    [
+        format!("version {}\ndrains: {drains}\n", config.version),
+        services(config),
+        plans(config),
+        customers(config),
+    ]
+    .join("\n")
+}
+
+/// A drain as the command line names it.
+#[must_use]
+pub fn name_of(drain: &Drain) -> String {
+    match drain {
+        Drain::Server(name) => format!("server:{name}"),
+        Drain::Entry(name) => format!("entry:{name}"),
+        Drain::Domain(place) => format!("domain:{}/{}", place.region, place.domain),
+        Drain::Region(name) => format!("region:{name}"),
+    }
+}
+
+fn services(config: &Config) -> String {
+    let rows = config.lists.services.iter().map(|s| {
+        vec![
+            s.name.to_string(),
+            s.class.as_str().to_owned(),
+            s.idempotent.to_string(),
+            s.deadline_ms.to_string(),
+        ]
+    });
+    let header = ["service", "class", "idempotent", "deadline_ms"];
+    lay_out(&header, &rows.collect::<Vec<_>>())
+}
+
+fn plans(config: &Config) -> String {
+    let mut rows = Vec::new();
+    for plan in &config.lists.plans {
+        for usage in &plan.uses {
+            rows.push(vec![
+                plan.name.to_string(),
+                plan.priority.to_string(),
+                usage.service.to_string(),
+                usage.rate_per_s.to_string(),
+                usage.burst.to_string(),
+                usage.in_flight.to_string(),
+            ]);
+        }
+    }
+    let header = [
+        "plan",
+        "priority",
+        "service",
+        "rate_per_s",
+        "burst",
+        "in_flight",
+    ];
+    lay_out(&header, &rows)
+}
+
+fn customers(config: &Config) -> String {
+    let rows = config.lists.customers.iter().map(|c| {
+        let home = c
+            .home
+            .as_ref()
+            .map_or_else(|| "-".into(), ToString::to_string);
+        vec![c.name.to_string(), c.plan.to_string(), home]
+    });
+    lay_out(&["customer", "plan", "home"], &rows.collect::<Vec<_>>())
+}
--- /dev/null
+++ b/crates/waxwingctl/src/failure.rs
@@ -0,0 +1,96 @@
+//! Failures of the tool and the exit codes that scripts see.
+
+use std::fmt;
+use std::process::ExitCode;
+
+use serde::Serialize;
+use world::Kind;
+
+/// Sort of a failure; each has its exit code.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Sort {
+    /// Refused, or a file has mistakes.
+    Failed = 1,
+    /// The command line is wrong.
+    Usage = 2,
+    /// Someone else's change came first.
+    Conflict = 3,
+    /// Nothing could be reached, and nothing was changed.
+    Unreachable = 4,
+    /// The change may be in force or may still come into force.
+    Unknown = 5,
+    /// The change was accepted, and isn't in force everywhere yet.
+    Partial = 6,
+}
+
+/// A failure: what happened, and what to do next.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Failure {
+    /// Its sort.
+    pub sort: Sort,
+    /// What happened.
+    pub text: String,
+    /// What the operator can do next.
+    pub next: String,
+}
+
+impl Failure {
+    /// A failure of this sort.
+    #[must_use]
+    pub fn new(sort: Sort, text: impl Into<String>, next: impl Into<String>) -> Self {
+        Self {
+            sort,
+            text: text.into(),
+            next: next.into(),
+        }
+    }
+
+    /// Wrong usage of a subcommand.
+    #[must_use]
+    pub fn usage(text: impl fmt::Display, command: &str) -> Self {
+        let next = format!("see `waxwingctl {command} --help`");
+        Self::new(Sort::Usage, text.to_string(), next)
+    }
+
+    /// A refusal by the system.
+    #[must_use]
+    pub fn refused(kind: Kind, detail: &str) -> Self {
+        let (sort, next) = match kind {
+            Kind::Conflict => (
+                Sort::Conflict,
+                "look at what is in force with `waxwingctl show`, put your change on top of it \
+                 and apply it with `--base` of that version",
+            ),
+            Kind::ChangeIdReused => (Sort::Failed, "apply the change again under a new --id"),
+            Kind::BadKey => (
+                Sort::Failed,
+                "check --key-file; its digest must stand among the operators of the plans list",
+            ),
+            Kind::BadLists => (
+                Sort::Failed,
+                "mend the lists; `waxwingctl check` names mistakes",
+            ),
+            Kind::NoQuorum | Kind::Internal => (
+                Sort::Unknown,
+                "send the change again with the same --id; it takes effect once at most",
+            ),
+            _ => (Sort::Failed, "see docs/OPERATING.md for this error"),
+        };
+        Self::new(sort, format!("{kind}: {detail}"), next)
+    }
+
+    /// Exit code of the process.
+    #[must_use]
+    pub fn exit_code(&self) -> ExitCode {
+        ExitCode::from(self.sort as u8)
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}\nnext: {}", self.text, self.next)
+    }
+}
+
+impl std::error::Error for Failure {}
--- a/crates/waxwingctl/src/http.rs
+++ b/crates/waxwingctl/src/http.rs
@@ -65,10 +65,10 @@
         Ok(Self { addr, sender })
     }
 
-    /// Whether another request can go out on the connection.
+    /// Whether the connection has ended.
     #[must_use]
-    pub fn is_ready(&self) -> bool {
-        self.sender.is_ready()
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
     }
 
     /// Sends one request and reads the whole answer.
--- /dev/null
+++ b/crates/waxwingctl/src/table.rs
@@ -0,0 +1,27 @@
+//! Plain tables for people.
+
+/// Lays rows out in columns under a header; every row has the header's length.
+#[must_use]
+pub fn lay_out(header: &[&str], rows: &[Vec<String>]) -> String {
+    let mut widths: Vec<usize> = header.iter().map(|cell| cell.chars().count()).collect();
+    for row in rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = cell.chars().count().max(*width);
+        }
+    }
+    let mut text = line(header.iter().copied(), &widths);
+    for row in rows {
+        text += &line(row.iter().map(String::as_str), &widths);
+    }
+    text
+}
+
+fn line<'a>(cells: impl Iterator<Item = &'a str>, widths: &[usize]) -> String {
+    let cells = cells.zip(widths);
+    let cells: Vec<String> = cells
+        .map(|(cell, width)| format!("{cell:<width$}"))
+        .collect();
+    let mut line = cells.join("  ").trim_end().to_owned();
+    line.push('\n');
+    line
+}
