--- a/crates/control/src/desk.rs
+++ b/crates/control/src/desk.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use ::desk::{KEY_HEADER, Refusal, header};
-use dropshot::{ApiDescription, HttpResponseOk, RequestContext, TypedBody, endpoint};
+use dropshot::{ApiDescription, HttpResponseOk, HttpResponseUpdatedNoContent};
+use dropshot::{Path, RequestContext, TypedBody, endpoint};
+use quorum::{MemberStatus, Role};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use world::{Change, Config, Error, KeyDigest, Kind, MachineName};
@@ -49,8 +51,67 @@
 pub struct Status {
     /// Name of the machine.
     pub name: MachineName,
-    /// Version of the configuration in force.
+    /// Version of the configuration in force here.
     pub config_version: u64,
+    /// Identity of this replica's disk.
+    pub disk: String,
+    /// Why this replica has stopped, when its disk failed.
+    pub failed: Option<String>,
+    /// Term of the group.
+    pub term: u64,
+    /// Machine that leads.
+    pub leader: Option<MachineName>,
+    /// Last committed index known here.
+    pub commit: u64,
+    /// Last applied index here.
+    pub applied: u64,
+    /// Members of the group.
+    pub replicas: Vec<Replica>,
+    /// Machines of the settings that are no members.
+    pub missing: Vec<MachineName>,
+    /// Whether every machine of the settings is a voter that has caught up;
+    /// only the leader says so.
+    pub repaired: bool,
+}
+
+/// A member of the group of control replicas.
+#[derive(Debug, Deserialize, JsonSchema, Serialize)]
+pub struct Replica {
+    /// Machine.
+    pub name: MachineName,
+    /// Identity of its disk.
+    pub disk: String,
+    /// Whether it votes; otherwise it is a learner.
+    pub voter: bool,
+    /// Whether it leads.
+    pub leader: bool,
+    /// Committed entries that it is known to lack; only the leader knows.
+    pub lag_entries: Option<u64>,
+    /// Since it last answered, milliseconds; only the leader knows.
+    pub heard_ms: Option<u64>,
+    /// Whether it is a voter that has caught up.
+    pub repaired: bool,
+}
+
+impl From<MemberStatus> for Replica {
+    fn from(member: MemberStatus) -> Self {
+        Self {
+            name: member.name,
+            disk: member.disk,
+            voter: member.role == Role::Voter,
+            leader: member.leader,
+            lag_entries: member.lag_entries,
+            heard_ms: member.heard_ms,
+            repaired: member.repaired,
+        }
+    }
+}
+
+/// A control VM in the path of a call.
+#[derive(Debug, Deserialize, JsonSchema)]
+pub struct ReplicaPath {
+    /// Its name.
+    pub name: MachineName,
 }
 
 /// The API of the desk.
@@ -62,6 +123,7 @@
     let mut api = ApiDescription::new();
     api.register(get_config).expect("endpoints do not clash");
     api.register(post_change).expect("endpoints do not clash");
+    api.register(replace).expect("endpoints do not clash");
     api.register(get_status).expect("endpoints do not clash");
     api
 }
@@ -71,7 +133,8 @@
 async fn get_config(request: RequestContext<Context>) -> Result<HttpResponseOk<Config>, Refusal> {
     let context = request.context();
     context.admit(header(&request, KEY_HEADER))?;
-    Ok(HttpResponseOk(context.keeper.config()))
+    let config = context.keeper.confirmed().await?;
+    Ok(HttpResponseOk(config))
 }
 
 /// Accepts or refuses a change.
@@ -83,23 +146,42 @@
     let context = request.context();
     context.admit(header(&request, KEY_HEADER))?;
     let change = change.into_inner();
-    let keeper = Arc::clone(&context.keeper);
-    let accepted = tokio::task::spawn_blocking(move || {
-        let version = keeper.accept(&change)?;
-        log::info!(target: "control", change:% = change.id, version; "change accepted");
-        Ok::<u64, Error>(version)
-    })
-    .await
-    .map_err(|error| Error::new(Kind::Internal, error.to_string()))?;
-    Ok(HttpResponseOk(Accepted { version: accepted? }))
+    let version = context.keeper.accept(&change).await?;
+    log::info!(target: "control", change:% = change.id, version; "change accepted");
+    Ok(HttpResponseOk(Accepted { version }))
+}
+
+/// Takes a lost replica's disk out of the group; its machine may then join
+/// with a new disk.
+#[endpoint { method = POST, path = "/v1/replicas/{name}/replace" }]
+async fn replace(
+    request: RequestContext<Context>,
+    path: Path<ReplicaPath>,
+) -> Result<HttpResponseUpdatedNoContent, Refusal> {
+    let context = request.context();
+    context.admit(header(&request, KEY_HEADER))?;
+    let name = path.into_inner().name;
+    context.keeper.replace(&name).await?;
+    log::info!(target: "control", replica:% = name; "disk taken out of the group");
+    Ok(HttpResponseUpdatedNoContent())
 }
 
 /// Gives the state of this control VM.
 #[endpoint { method = GET, path = "/v1/status" }]
 async fn get_status(request: RequestContext<Context>) -> Result<HttpResponseOk<Status>, Refusal> {
     let context = request.context();
+    let group = context.keeper.status();
     Ok(HttpResponseOk(Status {
         name: context.name.clone(),
         config_version: context.keeper.version(),
+        disk: group.disk,
+        failed: context.keeper.failed().map(|error| error.to_string()),
+        term: group.term,
+        leader: group.leader,
+        commit: group.commit,
+        applied: group.applied,
+        replicas: group.members.into_iter().map(Replica::from).collect(),
+        missing: group.missing,
+        repaired: group.repaired,
     }))
 }
--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -1,118 +1,212 @@
-//! The accepted configuration and the outcomes of changes, on a disk.
-
-use std::collections::BTreeMap;
-use std::fs::{self, File};
-use std::io::{ErrorKind, Write};
-use std::path::PathBuf;
-use std::sync::Arc;
-
-use anyhow::{Context, Result};
-use serde::{Deserialize, Serialize};
-use world::{Change, ChangeId, Config, Error, Kind, Rank, Ranked};
-
-const FILE: &str = "config.json";
-const FILE_NEW: &str = "config.json.new";
-
-/// What is kept on the disk.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-struct Kept {
-    config: Config,
-    accepted: BTreeMap<ChangeId, Accepted>,
-}
+//! The configuration on this replica, and the way to the one that leads.
 
-/// A change that was accepted.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-struct Accepted {
-    change: Change,
-    version: u64,
-}
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use peers::Links;
+use quorum::{Disk, ReplicaStatus, Settings};
+use tokio::time::{Instant, sleep};
+use wire::Body;
+use wire::body::{ChangeAsk, ChangeGive, ConfigAsk};
+use world::{Change, Config, Error, Kind, MachineName, Ran, Result};
+
+use crate::courier::LinkCourier;
+use crate::group::Group;
+use crate::registry::Registry;
+
+/// Name of the group that keeps the configuration.
+pub const CONFIG_GROUP: &str = "config";
+
+/// Longest wait for the outcome of a change or a read.
+pub const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Wait before the next try while no leader is known or reached.
+const RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// The configuration in force and its place on the disk.
+/// Longest wait for the reply to one forwarded call.
+const CALL_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Keeps the configuration together with the other control replicas.
 pub struct Keeper {
-    dir: PathBuf,
-    kept: Ranked<Arc<Kept>>,
+    group: Arc<Group<Registry, LinkCourier>>,
+    addrs: HashMap<MachineName, SocketAddr>,
+    links: OnceLock<Arc<Links<Keeper>>>,
 }
 
 impl Keeper {
-    /// Opens the folder, making it if there is none.
+    /// Starts the replica of this machine; the others stand at `addrs`.
     ///
     /// # Errors
-    /// When the folder or the file in it can't be read.
-    pub fn open(dir: PathBuf) -> Result<Self> {
-        fs::create_dir_all(&dir).with_context(|| format!("could not make {}", dir.display()))?;
-        let path = dir.join(FILE);
-        let kept = match fs::read(&path) {
-            Ok(bytes) => serde_json::from_slice(&bytes)
-                .with_context(|| format!("could not read {}", path.display()))?,
-            Err(error) if error.kind() == ErrorKind::NotFound => Kept::default(),
-            Err(error) => {
-                return Err(error).with_context(|| format!("could not open {}", path.display()));
-            }
-        };
+    /// When the disk can't be read.
+    pub fn new<D: Disk + Send + 'static>(
+        settings: Settings,
+        disk: D,
+        courier: LinkCourier,
+        addrs: HashMap<MachineName, SocketAddr>,
+    ) -> Result<Self> {
         Ok(Self {
-            dir,
-            kept: Ranked::new(Rank::Log, Arc::new(kept)),
+            group: Group::start(settings, disk, Registry::default(), courier)?,
+            addrs,
+            links: OnceLock::new(),
         })
     }
 
-    /// The configuration in force.
+    /// Gives the links over which calls are forwarded; only the first time counts.
+    pub fn connect(&self, links: Arc<Links<Keeper>>) {
+        let _ = self.links.set(links);
+    }
+
+    /// The configuration as far as this replica has it.
     #[must_use]
     pub fn config(&self) -> Config {
-        self.kept.lock().config.clone()
+        self.group.look(|registry| registry.config().clone())
     }
 
-    /// Version of the configuration in force.
+    /// Version of the configuration as far as this replica has it.
     #[must_use]
     pub fn version(&self) -> u64 {
-        self.kept.lock().config.version
+        self.group.look(|registry| registry.config().version)
     }
 
-    /// Accepts a change once it is on the disk; gives its version. Blocks.
+    /// The group as this replica sees it.
+    #[must_use]
+    pub fn status(&self) -> ReplicaStatus {
+        self.group.status()
+    }
+
+    /// Why this replica has stopped, when its disk failed.
+    #[must_use]
+    pub fn failed(&self) -> Option<Error> {
+        self.group.failed()
+    }
+
+    /// Accepts a change on a majority of replicas, through the leader; gives
+    /// its version.
     ///
     /// # Errors
-    /// [`Kind::Conflict`], [`Kind::ChangeIdReused`], [`Kind::BadLists`], or
-    /// [`Kind::Internal`] when the disk fails.
-    pub fn accept(&self, change: &Change) -> world::Result<u64> {
-        let mut kept = self.kept.lock();
-        if let Some(first) = kept.accepted.get(&change.id) {
-            return first.answer_again(change);
+    /// [`Kind::Conflict`], [`Kind::ChangeIdReused`] or [`Kind::BadLists`] from
+    /// the configuration; [`Kind::NotLeader`] when nobody could take it;
+    /// [`Kind::NoQuorum`] when it may still come into force.
+    pub async fn accept(&self, change: &Change) -> Result<u64> {
+        let command = Registry::command(change)?;
+        // A try whose outcome is unknown may be made again: the change id tells.
+        let mut unknown = None;
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let error = match self.accept_once(&command).await {
+                Ok(version) => return Ok(version),
+                Err(error) => error,
+            };
+            if !is_passing(&error) {
+                return Err(error);
+            }
+            if error.kind.answer().ran != Ran::NotRun {
+                unknown = Some(error.clone());
+            }
+            if Instant::now() + RETRY_AFTER >= deadline {
+                return Err(unknown.unwrap_or(error));
+            }
+            sleep(RETRY_AFTER).await;
         }
-        let config = kept.config.with_change(change)?;
-        let version = config.version;
-        let mut next = Kept {
-            config,
-            accepted: kept.accepted.clone(),
-        };
-        let accepted = Accepted {
-            change: change.clone(),
-            version,
+    }
+
+    /// The configuration with everything that was accepted before this call.
+    ///
+    /// # Errors
+    /// [`Kind::NotLeader`] or [`Kind::NoQuorum`].
+    pub async fn confirmed(&self) -> Result<Config> {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let error = match self.confirmed_once().await {
+                Ok(config) => return Ok(config),
+                Err(error) => error,
+            };
+            if !is_passing(&error) || Instant::now() + RETRY_AFTER >= deadline {
+                return Err(error);
+            }
+            sleep(RETRY_AFTER).await;
+        }
+    }
+
+    /// Takes the disk of a lost replica out of the group, so that its machine
+    /// may join with a new one.
+    ///
+    /// # Errors
+    /// [`Kind::NotLeader`], which names the leader, or as [`Group::remove`].
+    pub async fn replace(&self, name: &MachineName) -> Result<()> {
+        self.group.remove(name).await
+    }
+
+    /// Takes in a message of another replica.
+    pub fn receive(&self, payload: &[u8]) {
+        self.group.receive(payload);
+    }
+
+    /// Proposes at this replica alone.
+    pub(crate) async fn accept_here(&self, command: &[u8]) -> Result<u64> {
+        self.group.propose(command).await?
+    }
+
+    /// Reads at this replica alone.
+    pub(crate) async fn confirmed_here(&self) -> Result<Config> {
+        let config = self.group.read(|registry| registry.config().clone());
+        config.await
+    }
+
+    /// Ends the replica's tasks.
+    pub fn stop(&self) {
+        self.group.stop();
+    }
+
+    async fn accept_once(&self, command: &[u8]) -> Result<u64> {
+        if self.group.is_leader() {
+            return self.accept_here(command).await;
+        }
+        let change_json = command.to_vec().into();
+        let ask = Body::ChangeAsk(ChangeAsk { change_json });
+        match self.call_leader(ask).await? {
+            Body::ChangeGive(ChangeGive { version }) => Ok(version),
+            other => Err(refused(other)),
+        }
+    }
+
+    async fn confirmed_once(&self) -> Result<Config> {
+        if self.group.is_leader() {
+            return self.confirmed_here().await;
+        }
+        let ask = Body::ConfigAsk(ConfigAsk {
+            have_version: 0,
+            confirmed: true,
+        });
+        match self.call_leader(ask).await? {
+            Body::ConfigGive(give) if give.version == 0 => Ok(Config::default()),
+            Body::ConfigGive(give) => serde_json::from_slice(&give.config_json)
+                .map_err(|e| Error::new(Kind::Internal, e.to_string())),
+            other => Err(refused(other)),
+        }
+    }
+
+    async fn call_leader(&self, ask: Body) -> Result<Body> {
+        let leader = self.group.leader();
+        let known = leader.and_then(|name| self.addrs.get(&name));
+        let (Some(addr), Some(links)) = (known, self.links.get()) else {
+            return Err(Error::new(Kind::NotLeader, "no leader is known"));
         };
-        next.accepted.insert(change.id.clone(), accepted);
-        self.write(&next)
-            .map_err(|error| Error::new(Kind::Internal, format!("{error:#}")))?;
-        *kept = Arc::new(next);
-        Ok(version)
-    }
-
-    fn write(&self, kept: &Kept) -> Result<()> {
-        let path = self.dir.join(FILE_NEW);
-        let mut file = File::create(&path)?;
-        file.write_all(&serde_json::to_vec(kept)?)?;
-        file.sync_all()?;
-        fs::rename(&path, self.dir.join(FILE))?;
-        File::open(&self.dir)?.sync_all()?;
-        Ok(())
+        Ok(links.to(*addr).call(ask, CALL_PATIENCE).await?)
     }
 }
 
-impl Accepted {
-    fn answer_again(&self, change: &Change) -> world::Result<u64> {
-        if self.change == *change {
-            return Ok(self.version);
-        }
-        Err(Error::new(
-            Kind::ChangeIdReused,
-            format!("change id {} was used for another change", change.id),
-        ))
+/// Whether another try may end differently.
+fn is_passing(error: &Error) -> bool {
+    let kinds = [Kind::NotLeader, Kind::NoQuorum, Kind::Unreachable];
+    kinds.contains(&error.kind)
+}
+
+fn refused(body: Body) -> Error {
+    match body {
+        Body::Refusal(refusal) => refusal.into(),
+        _ => Error::new(Kind::Internal, "unexpected reply of the leader"),
     }
 }
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -4,19 +4,27 @@
 
 use bytes::Bytes;
 use peers::Serve;
-use wire::body::{ConfigAsk, ConfigGive};
+use wire::body::{ChangeAsk, ChangeGive, ConfigAsk, ConfigGive};
 use wire::{Body, Refusal};
-use world::{Error, Kind, MachineName};
+use world::{Config, Error, Kind, MachineName, Result};
 
-use crate::keeper::Keeper;
+use crate::keeper::{CONFIG_GROUP, Keeper};
 
 impl Serve for Keeper {
     async fn serve(self: &Arc<Self>, _from: &MachineName, body: Body) -> Option<Body> {
-        if let Body::ConfigAsk(ask) = body {
-            return Some(self.give(&ask));
-        }
-        let error = Error::new(Kind::BadRequest, "not a message for a control VM");
-        Some(Body::Refusal(Refusal::from(&error)))
+        let answer = match body {
+            Body::Group(message) if message.group == CONFIG_GROUP => {
+                self.receive(&message.payload);
+                return None;
+            }
+            Body::ChangeAsk(ask) => self.take(&ask).await,
+            Body::ConfigAsk(ask) => self.give(&ask).await,
+            _ => Err(Error::new(
+                Kind::BadRequest,
+                "not a message for a control VM",
+            )),
+        };
+        Some(answer.unwrap_or_else(|error| Body::Refusal(Refusal::from(&error))))
     }
 
     fn config_version(&self) -> u64 {
@@ -27,15 +35,27 @@
 }
 
 impl Keeper {
-    fn give(&self, ask: &ConfigAsk) -> Body {
-        let config = self.config();
-        let mut config_json = Bytes::new();
-        if config.version > ask.have_version {
-            config_json = serde_json::to_vec(&config).unwrap_or_default().into();
-        }
-        Body::ConfigGive(ConfigGive {
+    async fn take(&self, ask: &ChangeAsk) -> Result<Body> {
+        let version = self.accept_here(&ask.change_json).await?;
+        Ok(Body::ChangeGive(ChangeGive { version }))
+    }
+
+    async fn give(&self, ask: &ConfigAsk) -> Result<Body> {
+        let config = if ask.confirmed {
+            self.confirmed_here().await?
+        } else {
+            self.config()
+        };
+        Ok(Body::ConfigGive(ConfigGive {
             version: config.version,
-            config_json,
-        })
+            config_json: newer(&config, ask.have_version),
+        }))
+    }
+}
+
+fn newer(config: &Config, have_version: u64) -> Bytes {
+    if config.version <= have_version {
+        return Bytes::new();
     }
+    serde_json::to_vec(config).unwrap_or_default().into()
 }
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -1,16 +1,21 @@
 //! Start of the control role.
 
+use std::collections::HashMap;
+use std::path::Path;
 use std::sync::Arc;
 
 use anyhow::{Context as _, Result};
 use conf::{ControlAddrs, Settings};
 use dropshot::HttpServer;
-use peers::{Identity, accept};
+use peers::{Identity, Links, accept};
+use quorum::FileDisk;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
+use world::MachineName;
 
+use crate::courier::LinkCourier;
 use crate::desk::{Context, api};
-use crate::keeper::Keeper;
+use crate::keeper::{CONFIG_GROUP, Keeper};
 
 /// A running control role.
 pub struct Control {
@@ -18,6 +23,7 @@
     pub addrs: ControlAddrs,
     desk: HttpServer<Context>,
     links: JoinHandle<()>,
+    keeper: Arc<Keeper>,
 }
 
 /// Starts the control role with these settings.
@@ -26,7 +32,6 @@
 /// When the data folder can't be opened or an address can't be bound.
 pub async fn start(settings: &Settings) -> Result<Control> {
     let dir = settings.data_dir.clone().context("no data_dir is set")?;
-    let keeper = Arc::new(Keeper::open(dir)?);
     let listen = settings
         .control_listen
         .context("no control_listen is set")?;
@@ -35,7 +40,9 @@
         .with_context(|| format!("could not bind {}", listen.link))?;
     let link = listener.local_addr()?;
     let identity = Identity::new(settings.name.clone(), settings.secret.clone());
+    let keeper = keep(settings, &dir, &identity)?;
     let links = tokio::spawn(accept(listener, identity, Arc::clone(&keeper)));
+    let kept = Arc::clone(&keeper);
     let context = Context {
         name: settings.name.clone(),
         keeper,
@@ -49,9 +56,29 @@
         },
         desk,
         links,
+        keeper: kept,
     })
 }
 
+/// Starts this machine's replica of the configuration and its links to the others.
+fn keep(settings: &Settings, dir: &Path, identity: &Identity) -> Result<Arc<Keeper>> {
+    let me = &settings.name;
+    let mut names: Vec<MachineName> = settings.control.iter().map(|c| c.name.clone()).collect();
+    names.push(me.clone());
+    names.sort();
+    names.dedup();
+    let others = settings.control.iter().filter(|c| c.name != *me);
+    let addrs: HashMap<_, _> = others.map(|c| (c.name.clone(), c.link)).collect();
+    let (courier, outgoing) = LinkCourier::new(CONFIG_GROUP, addrs.clone());
+    let disk = FileDisk::new(&dir.join(CONFIG_GROUP))?;
+    let replica = quorum::Settings::new(me.clone(), names, rand::random());
+    let keeper = Arc::new(Keeper::new(replica, disk, courier, addrs)?);
+    let links = Arc::new(Links::new(identity.clone(), Arc::clone(&keeper)));
+    outgoing.carry(&links);
+    keeper.connect(links);
+    Ok(keeper)
+}
+
 impl Control {
     /// Answers what has arrived, then stops.
     pub async fn stop(self) {
@@ -59,5 +86,6 @@
             log::warn!(target: "control", error:% = error; "desk did not close cleanly");
         }
         self.links.abort();
+        self.keeper.stop();
     }
 }
--- a/crates/entry/src/pull.rs
+++ b/crates/entry/src/pull.rs
@@ -32,6 +32,7 @@
 async fn ask_config(state: &State, links: &Links<State>, source: SocketAddr) {
     let ask = Body::ConfigAsk(ConfigAsk {
         have_version: state.version(),
+        confirmed: false,
     });
     let Ok(Body::ConfigGive(give)) = links.to(source).call(ask, PULL_PATIENCE).await else {
         return;
--- a/crates/peers/tests/link.rs
+++ b/crates/peers/tests/link.rs
@@ -54,7 +54,10 @@
 }
 
 fn ask(have_version: u64) -> Body {
-    Body::ConfigAsk(ConfigAsk { have_version })
+    Body::ConfigAsk(ConfigAsk {
+        have_version,
+        confirmed: false,
+    })
 }
 
 #[tokio::test]
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -42,7 +42,7 @@
 pub const APPEND_MAX_BYTES: usize = 1 << 20;
 
 /// Longest command in bytes.
-pub const COMMAND_MAX_BYTES: usize = 1 << 20;
+pub const COMMAND_MAX_BYTES: usize = 8 << 20;
 
 /// Most proposals and reads that may wait at one replica.
 pub const WAITERS_MAX: usize = 10_000;
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -58,6 +58,12 @@
     /// Answer of the ledger.
     #[prost(message, tag = "21")]
     LedgerGive(LedgerGive),
+    /// Asks the leader of the configuration to accept a change.
+    #[prost(message, tag = "24")]
+    ChangeAsk(ChangeAsk),
+    /// The change was accepted.
+    #[prost(message, tag = "25")]
+    ChangeGive(ChangeGive),
 }
 
 /// Opens a connection: a number that the other side binds its proof to.
@@ -118,6 +124,25 @@
     /// Version that the asking side has.
     #[prost(uint64, tag = "1")]
     pub have_version: u64,
+    /// Whether only the leader, confirmed by a majority, may answer.
+    #[prost(bool, tag = "2")]
+    pub confirmed: bool,
+}
+
+/// Asks the leader of the configuration to accept a change.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ChangeAsk {
+    /// The change as JSON.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub change_json: bytes::Bytes,
+}
+
+/// The change was accepted.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ChangeGive {
+    /// Version that the change made.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
 }
 
 /// Gives the configuration; empty when the asking side is up to date.
