Name mistakes between settings' fields beside all others

Cause: the checks of roles and places ran only when every field was well formed, so a file with a bad field hid them until the next try. Before: 'listen missing' was lost beside another mistake. After: both are named. Ruled out: a second pass over the file.

--- a/crates/conf/src/fields.rs
+++ b/crates/conf/src/fields.rs
@@ -103,6 +103,12 @@
         items
     }
 
+    /// Whether the object has a field of this name.
+    #[must_use]
+    pub fn has(&self, name: &str) -> bool {
+        self.object.get(name).is_some()
+    }
+
     /// Notes a mistake at a field.
     pub fn wrong(&mut self, name: &str, text: String) {
         let offset = self.object.get(name).map_or_else(
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -113,7 +113,7 @@
 fn settings(top: &mut Fields<'_>) -> Option<Settings> {
     let name = top.need("name", NAME);
     let place = top.object("place", place);
-    let roles = top.need("roles", "a list of \"entry\" and \"control\"");
+    let roles: Option<Vec<Role>> = top.need("roles", "a list of \"entry\" and \"control\"");
     let workers = top.bounded("workers", 2, 1, 256);
     let secret = top.need("secret", "the deployment's secret, a text");
     let listen = top.may_object("listen", addrs);
@@ -128,7 +128,11 @@
     let lease_ms = top.bounded("lease_ms", 3_000, 300, 60_000);
     let shutdown_ms = top.bounded("shutdown_ms", 30_000, 100, 3_600_000);
     let log = top.may_object("log", |l| Some(log_settings(l)));
-    let settings = Settings {
+    if let Some(roles) = &roles {
+        check_roles(roles, top);
+    }
+    check_zones(zones.as_ref(), place.as_ref(), top);
+    Some(Settings {
         name: name?,
         place: place?,
         roles: roles?,
@@ -146,43 +150,46 @@
         lease_ms,
         shutdown_ms,
         log: log.unwrap_or_else(default_log),
-    };
-    check(&settings, top);
-    Some(settings)
+    })
 }
 
-fn check(settings: &Settings, top: &mut Fields<'_>) {
-    if settings.roles.is_empty() {
+fn check_roles(roles: &[Role], top: &mut Fields<'_>) {
+    if roles.is_empty() {
         top.wrong("roles", "expected at least one role".into());
     }
-    if settings.roles.contains(&Role::Control) && settings.data_dir.is_none() {
+    if roles.contains(&Role::Control) && !top.has("data_dir") {
         top.wrong(
             "data_dir",
             "missing; the control role needs a folder".into(),
         );
     }
-    if settings.roles.contains(&Role::Control) && settings.control_listen.is_none() {
+    if roles.contains(&Role::Control) && !top.has("control_listen") {
         top.wrong(
             "control_listen",
             "missing; the control role needs desk and link".into(),
         );
     }
-    if settings.roles.contains(&Role::Entry) && settings.listen.is_none() {
+    if roles.contains(&Role::Entry) && !top.has("listen") {
         top.wrong(
             "listen",
             "missing; the entry role needs front, desk and link".into(),
         );
     }
-    if !settings.zones.has(&settings.place) {
+}
+
+fn check_zones(zones: Option<&Zones>, place: Option<&Place>, top: &mut Fields<'_>) {
+    let Some(zones) = zones else { return };
+    if let Err(error) = zones.check() {
+        top.wrong("zones", error.detail);
+    }
+    let Some(place) = place else { return };
+    if !zones.has(place) {
         let text = format!(
             "zones have no failure domain {}/{}",
-            settings.place.region, settings.place.domain
+            place.region, place.domain
         );
         top.wrong("place", text);
     }
-    if let Err(error) = settings.zones.check() {
-        top.wrong("zones", error.detail);
-    }
 }
 
 fn place(fields: &mut Fields<'_>) -> Option<Place> {
