Wire bookings through the ledger over links

Cause: a non-idempotent request went out like any other and could run twice.

Ruled out: running it in the caller's own task (a caller who goes away would leave it half done), and a ledger on every control VM before the replicated group is there (two ledgers would each grant the same key).

Before: no key was asked for. After: entry::booking sends unsafe requests of services that are not idempotent through the ledger, on a connection opened just now, with x-waxwing-fence; control serves the ledger behind the trait Replicated, for now from the synced disk of the first control VM.

--- /dev/null
+++ b/crates/control/src/ledger/machine.rs
@@ -0,0 +1,40 @@
+//! The ledger as the state machine of a replicated log.
+
+use once::{Command, Ledger, Limits, Reply};
+use quorum::Machine;
+use world::Result;
+
+/// A [`Ledger`] that commands of a log change.
+#[derive(Clone, Debug)]
+pub struct LedgerMachine(pub Ledger);
+
+impl LedgerMachine {
+    /// An empty ledger with these bounds.
+    #[must_use]
+    pub fn new(limits: Limits) -> Self {
+        Self(Ledger::new(limits))
+    }
+}
+
+impl Machine for LedgerMachine {
+    type Output = Reply;
+
+    fn apply(&mut self, index: u64, command: &[u8]) -> Reply {
+        match Command::from_bytes(command) {
+            Ok(command) => self.0.apply(command),
+            Err(error) => {
+                log::error!(target: "control", index, error:% = error; "ledger command skipped");
+                Reply::Refused
+            }
+        }
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.0.to_bytes().unwrap_or_default()
+    }
+
+    fn restore(&mut self, bytes: &[u8]) -> Result<()> {
+        self.0 = Ledger::from_bytes(bytes)?;
+        Ok(())
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod desk;
 pub mod keeper;
+pub mod ledger;
 pub mod serve;
 pub mod start;
 
--- a/crates/entry/src/back.rs
+++ b/crates/entry/src/back.rs
@@ -3,7 +3,9 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1;
-use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{
+    CONNECTION, CONTENT_TYPE, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -61,7 +63,11 @@
     Ok(passed_on(answered, slot))
 }
 
-fn request(
+/// The request as it goes to a backend server.
+///
+/// # Errors
+/// [`Kind::BadRequest`] when it can't be put in its HTTP form.
+pub fn request(
     server: &BackendServer,
     ask: &Ask,
     id: &str,
@@ -86,8 +92,13 @@
 
 fn passed_on(answered: Response<hyper::body::Incoming>, slot: Slot) -> Response<AnswerBody> {
     let (mut head, body) = answered.into_parts();
+    drop_hop_headers(&mut head.headers);
+    Response::from_parts(head, AnswerBody::Stream(body, slot))
+}
+
+/// Takes out the headers of one hop.
+pub fn drop_hop_headers(headers: &mut HeaderMap) {
     for name in HOP_HEADERS {
-        head.headers.remove(name);
+        headers.remove(name);
     }
-    Response::from_parts(head, AnswerBody::Stream(body, slot))
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ask;
 pub mod back;
 pub mod body;
+pub mod booking;
 pub mod desk;
 pub mod front;
 pub mod leases;
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -13,6 +13,7 @@
 use crate::ask::Ask;
 use crate::back;
 use crate::body::{AnswerBody, Slot};
+use crate::booking;
 use crate::state::{InForce, State};
 
 /// Answers one request.
@@ -51,6 +52,10 @@
     let ask = Ask::read(request).await?;
     let contract = in_force.book.contract(&ask.key, &ask.service)?;
     let deadline = ask.arrived_at + deadline(&ask, &contract);
+    if booking::concerns(&ask, &contract) {
+        let bookings = state.bookings()?;
+        return bookings.answer(state, ask, &contract, id, deadline).await;
+    }
     let server = state
         .leases
         .lock()
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use anyhow::{Context as _, Result};
 use conf::{Addrs, Settings};
@@ -10,8 +11,11 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 use world::EntryVm;
+use world::unit::ms;
 
+use crate::booking::Bookings;
 use crate::desk::{Context, api};
 use crate::front;
 use crate::pull::{pull_config, tell_members};
@@ -24,6 +28,8 @@
     desk: HttpServer<Context>,
     leaving: watch::Sender<bool>,
     front: JoinHandle<()>,
+    bookings: Arc<Bookings>,
+    shutdown: Duration,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -49,6 +55,9 @@
     let _ = desk.app_private().state.set(Arc::clone(&state));
     let identity = Identity::new(settings.name.clone(), settings.secret.clone());
     let links = Arc::new(Links::new(identity.clone(), Arc::clone(&state)));
+    let replicas = settings.control.iter().map(|c| c.link).collect();
+    let bookings = Arc::new(Bookings::new(Arc::clone(&links), replicas));
+    state.set_bookings(Arc::clone(&bookings));
     let (leaving, left) = watch::channel(false);
     let sources = settings.control.iter().map(|c| c.link).collect();
     let tasks = vec![
@@ -66,6 +75,8 @@
         desk,
         leaving,
         front,
+        bookings,
+        shutdown: ms(settings.shutdown_ms),
         tasks,
     })
 }
@@ -75,6 +86,9 @@
     pub async fn stop(self) {
         self.leaving.send_replace(true);
         let _ = self.front.await;
+        if timeout(self.shutdown, self.bookings.idle()).await.is_err() {
+            log::warn!(target: "entry", "shutdown left operations under way");
+        }
         if let Err(error) = self.desk.close().await {
             log::warn!(target: "entry", error:% = error; "desk did not close cleanly");
         }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,10 +1,11 @@
 //! The tables that all workers of an entry VM share.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use tokio::sync::watch;
-use world::{Book, Config, EntryVm, Rank, Ranked, Secret};
+use world::{Book, Config, EntryVm, Error, Kind, Rank, Ranked, Secret};
 
+use crate::booking::Bookings;
 use crate::leases::Leases;
 use crate::members::Members;
 
@@ -40,6 +41,7 @@
     pub members: Ranked<Members>,
     /// Backend servers of the failure domain.
     pub leases: Ranked<Leases>,
+    bookings: OnceLock<Arc<Bookings>>,
     in_force: Ranked<Arc<InForce>>,
     version: watch::Sender<u64>,
 }
@@ -51,6 +53,7 @@
         Self {
             members: Ranked::new(Rank::Members, Members::new(me.clone())),
             leases: Ranked::new(Rank::Fleet, Leases::default()),
+            bookings: OnceLock::new(),
             in_force: Ranked::new(Rank::Config, Arc::default()),
             version: watch::Sender::new(0),
             me,
@@ -59,6 +62,20 @@
         }
     }
 
+    /// Sets what runs non-idempotent operations, once, at the start.
+    pub fn set_bookings(&self, bookings: Arc<Bookings>) {
+        let _ = self.bookings.set(bookings);
+    }
+
+    /// What runs non-idempotent operations.
+    ///
+    /// # Errors
+    /// [`Kind::LedgerUnread`] while the role is starting.
+    pub fn bookings(&self) -> Result<&Arc<Bookings>, Error> {
+        let starting = || Error::new(Kind::LedgerUnread, "this entry VM is starting");
+        self.bookings.get().ok_or_else(starting)
+    }
+
     /// The configuration in force here.
     #[must_use]
     pub fn in_force(&self) -> Arc<InForce> {
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -4,7 +4,6 @@
 
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
-use world::{Error, Kind};
 
 use crate::answer::StoredAnswer;
 use crate::limits::Limits;
@@ -102,24 +101,6 @@
         self.answers_bytes
     }
 
-    /// The whole state for a snapshot.
-    ///
-    /// # Errors
-    /// [`Kind::Internal`] when it can't be encoded.
-    pub fn to_bytes(&self) -> Result<Vec<u8>, Error> {
-        serde_json::to_vec(self)
-            .map_err(|e| Error::new(Kind::Internal, format!("encode ledger: {e}")))
-    }
-
-    /// The state of a snapshot.
-    ///
-    /// # Errors
-    /// [`Kind::Damaged`] when the bytes hold no ledger.
-    pub fn from_bytes(bytes: &[u8]) -> Result<Self, Error> {
-        serde_json::from_slice(bytes)
-            .map_err(|e| Error::new(Kind::Damaged, format!("decode ledger: {e}")))
-    }
-
     /// How an operation stands at ledger time `now_ms`, without changing anything.
     #[must_use]
     pub fn look(&self, id: &OperationId, digest: &RequestDigest, now_ms: u64) -> Reply {
--- a/crates/once/src/request.rs
+++ b/crates/once/src/request.rs
@@ -4,6 +4,7 @@
 use world::{Error, Kind};
 
 use crate::answer::StoredAnswer;
+use crate::ledger::Ledger;
 use crate::operation::{AttemptId, OperationId, RequestDigest};
 
 /// A question to the ledger. All but `Look` change it and are replicated.
@@ -74,26 +75,6 @@
     pub request: Request,
 }
 
-impl Command {
-    /// Encodes the command for the log.
-    ///
-    /// # Errors
-    /// [`Kind::Internal`] when it can't be encoded.
-    pub fn to_bytes(&self) -> Result<Vec<u8>, Error> {
-        serde_json::to_vec(self)
-            .map_err(|e| Error::new(Kind::Internal, format!("encode ledger command: {e}")))
-    }
-
-    /// Decodes a command of the log.
-    ///
-    /// # Errors
-    /// [`Kind::Damaged`] when the bytes hold no command.
-    pub fn from_bytes(bytes: &[u8]) -> Result<Self, Error> {
-        serde_json::from_slice(bytes)
-            .map_err(|e| Error::new(Kind::Damaged, format!("decode ledger command: {e}")))
-    }
-}
-
 /// What the ledger replies.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -132,3 +113,35 @@
     /// The attempt doesn't hold the operation.
     Refused,
 }
+
+/// Gives a type the ledger's own encoding, JSON.
+macro_rules! encoded {
+    ($($kind:ident: $what:literal;)+) => {$(
+        impl $kind {
+            /// Encodes it.
+            ///
+            /// # Errors
+            /// [`Kind::Internal`] when it can't be encoded.
+            pub fn to_bytes(&self) -> Result<Vec<u8>, Error> {
+                serde_json::to_vec(self)
+                    .map_err(|e| Error::new(Kind::Internal, format!("encode {}: {e}", $what)))
+            }
+
+            /// Decodes it.
+            ///
+            /// # Errors
+            /// [`Kind::Damaged`] when the bytes hold none.
+            pub fn from_bytes(bytes: &[u8]) -> Result<Self, Error> {
+                serde_json::from_slice(bytes)
+                    .map_err(|e| Error::new(Kind::Damaged, format!("decode {}: {e}", $what)))
+            }
+        }
+    )+};
+}
+
+encoded! {
+    Command: "ledger command";
+    Ledger: "ledger";
+    Reply: "ledger reply";
+    Request: "ledger request";
+}
