Add a site on loopback and the command rig site

Cause: a newcomer should serve a request in one command, and tests of processes need a whole site.

Ruled out: fixed ports; control VMs are named by a relay's address, which is known before they start and can be cut later. Backend servers in process: they could not be killed.

Before: each part started by hand.

Conclusion: tests of processes build on rig::site.

--- a/crates/rig/src/cmd/mod.rs
+++ b/crates/rig/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod relay;
+mod site;
 
 use std::process::ExitCode;
 
@@ -19,6 +20,7 @@
 Commands:
   backend  Run a stand-in backend server
   relay    Run a TCP relay with a delay
+  site     Start a small site, send requests of each class, print the result
 
 `rig <COMMAND> --help` tells more.
 ";
@@ -49,6 +51,7 @@
     match command {
         Value(name) if name == "backend" => backend::run(args).await,
         Value(name) if name == "relay" => relay::run(args).await,
+        Value(name) if name == "site" => site::run(args).await,
         Short('h') | Long("help") => {
             print!("{HELP}");
             Ok(ExitCode::SUCCESS)
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod process;
 pub mod relay;
 pub mod server;
+pub mod site;
