Add the messages for credits

Cause: only a backend server's owner may hand it work, so entry VMs need leave to hand work to each other. Before: none. After: CreditAsk and CreditGive; the path follows.

--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -58,6 +58,12 @@
     /// Answer of the ledger.
     #[prost(message, tag = "21")]
     LedgerGive(LedgerGive),
+    /// Asks an entry VM for credits.
+    #[prost(message, tag = "26")]
+    CreditAsk(CreditAsk),
+    /// Gives credits.
+    #[prost(message, tag = "27")]
+    CreditGive(CreditGive),
 }
 
 /// Opens a connection: a number that the other side binds its proof to.
@@ -169,6 +175,43 @@
     pub outcome: bytes::Bytes,
 }
 
+/// Asks an entry VM for credits: leave to hand it work for its backend servers.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CreditAsk {
+    /// Service that the work is for.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Credits wanted at most.
+    #[prost(uint32, tag = "2")]
+    pub wanted: u32,
+    /// Region of the asking VM.
+    #[prost(string, tag = "3")]
+    pub region: String,
+}
+
+/// Gives credits that follow each other by number.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CreditGive {
+    /// Number that differs with each start of the issuer.
+    #[prost(fixed64, tag = "1")]
+    pub epoch: u64,
+    /// Number of the first credit.
+    #[prost(uint64, tag = "2")]
+    pub first: u64,
+    /// How many; 0: none now.
+    #[prost(uint32, tag = "3")]
+    pub count: u32,
+    /// Time for which they hold, milliseconds, from before they were asked for.
+    #[prost(uint64, tag = "4")]
+    pub ttl_ms: u64,
+    /// Bytes that each allows over the link between the regions.
+    #[prost(uint64, tag = "5")]
+    pub bytes: u64,
+    /// Slots of the service that the issuer has, free or taken.
+    #[prost(uint32, tag = "6")]
+    pub slots: u32,
+}
+
 impl From<&Error> for Refusal {
     fn from(error: &Error) -> Self {
         Self {
