--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,7 +4,11 @@
 pub mod desk;
 pub mod group;
 pub mod keeper;
+<<<<<<< HEAD
 pub mod registry;
+=======
+pub mod ledger;
+>>>>>>> main
 pub mod serve;
 pub mod start;
 
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -8,10 +8,24 @@
 use wire::{Body, Refusal};
 use world::{Config, Error, Kind, MachineName, Result};
 
+<<<<<<< HEAD
 use crate::keeper::{CONFIG_GROUP, Keeper};
+=======
+use crate::keeper::Keeper;
+use crate::ledger::{LedgerDesk, Single};
+>>>>>>> main
 
-impl Serve for Keeper {
+/// What a control VM answers other processes from.
+pub struct Server {
+    /// The configuration.
+    pub keeper: Arc<Keeper>,
+    /// The ledger, on the control VM that keeps it.
+    pub ledger: Option<LedgerDesk<Single>>,
+}
+
+impl Serve for Server {
     async fn serve(self: &Arc<Self>, _from: &MachineName, body: Body) -> Option<Body> {
+<<<<<<< HEAD
         let answer = match body {
             Body::Group(message) if message.group == CONFIG_GROUP => {
                 self.receive(&message.payload);
@@ -25,10 +39,19 @@
             )),
         };
         Some(answer.unwrap_or_else(|error| Body::Refusal(Refusal::from(&error))))
+=======
+        let error = match (body, &self.ledger) {
+            (Body::ConfigAsk(ask), _) => return Some(self.keeper.give(&ask)),
+            (Body::LedgerAsk(ask), Some(ledger)) => return Some(ledger.answer(&ask).await),
+            (Body::LedgerAsk(_), None) => Error::new(Kind::NotLeader, "keeps no ledger"),
+            _ => Error::new(Kind::BadRequest, "not a message for a control VM"),
+        };
+        Some(Body::Refusal(Refusal::from(&error)))
+>>>>>>> main
     }
 
     fn config_version(&self) -> u64 {
-        self.version()
+        self.keeper.version()
     }
 
     fn heard_version(&self, _from: &MachineName, _version: u64) {}
