Test the whole path through separate processes

Cause: the path has to hold when machines leave, answers go wrong and input is bad, and each was untested with real processes.

Ruled out: waits of fixed length; tests wait until backend servers have started work. One shared site for all tests: a killed VM would leak between them.

Before: the path was run by hand.

--- a/crates/rig/src/site/files.rs
+++ b/crates/rig/src/site/files.rs
@@ -99,7 +99,6 @@
         "roles": [role],
         "workers": 2,
         "secret": SECRET,
-        "listen": { "front": LOOPBACK, "desk": LOOPBACK, "link": LOOPBACK },
         "control": controls,
         "seeds": contacts.seeds,
         "operator_key_sha256": [KeyDigest::of(OPERATOR_KEY)],
@@ -110,8 +109,10 @@
         "log": { "level": "info" },
     });
     if role == "control" {
+        settings["control_listen"] = json!({ "desk": LOOPBACK, "link": LOOPBACK });
         settings["data_dir"] = json!(dir.join(format!("{name}.data")));
     } else {
+        settings["listen"] = json!({ "front": LOOPBACK, "desk": LOOPBACK, "link": LOOPBACK });
         for (field, value) in &plan.settings {
             settings[field] = value.clone();
         }
--- a/crates/rig/src/site/mod.rs
+++ b/crates/rig/src/site/mod.rs
@@ -27,7 +27,16 @@
 /// Seconds that a change may take to be in force everywhere.
 const APPLY_WAIT_S: &str = "10";
 
-/// A VM of the system.
+/// A control VM.
+#[derive(Debug)]
+pub struct Control {
+    /// The process.
+    pub process: Process,
+    /// Address for operators.
+    pub desk_addr: SocketAddr,
+}
+
+/// An entry VM.
 #[derive(Debug)]
 pub struct Vm {
     /// The process.
@@ -59,7 +68,7 @@
     /// Lists and keys.
     pub files: Files,
     /// Control VMs.
-    pub controls: Vec<Vm>,
+    pub controls: Vec<Control>,
     /// Relays before the links of the control VMs, in the same order.
     pub control_relays: Vec<Relay>,
     /// Entry VMs.
@@ -169,9 +178,12 @@
         for number in 0..self.plan.controls {
             let name = self.contacts.controls[number].0.clone();
             let place = &places[number % places.len()];
-            let vm = self.start_vm(&name, place, "control").await?;
-            self.control_relays[number].set_target(vm.process.addr("link")?);
-            self.controls.push(vm);
+            let process = self.start_vm(&name, place, "control").await?;
+            self.control_relays[number].set_target(process.addr("control_link")?);
+            self.controls.push(Control {
+                desk_addr: process.addr("control_desk")?,
+                process,
+            });
         }
         Ok(())
     }
@@ -180,24 +192,23 @@
         for place in self.plan.places()? {
             for number in 1..=self.plan.entries_per_domain {
                 let name = format!("entry-{}-{}-{number}", place.region, place.domain);
-                let vm = self.start_vm(&name, &place, "entry").await?;
-                self.contacts.seeds.push(vm.process.addr("link")?);
-                self.entries.push(vm);
+                let process = self.start_vm(&name, &place, "entry").await?;
+                self.contacts.seeds.push(process.addr("link")?);
+                self.entries.push(Vm {
+                    front_addr: process.addr("front")?,
+                    desk_addr: process.addr("desk")?,
+                    place: place.clone(),
+                    process,
+                });
             }
         }
         Ok(())
     }
 
-    async fn start_vm(&self, name: &str, place: &Place, role: &str) -> anyhow::Result<Vm> {
+    async fn start_vm(&self, name: &str, place: &Place, role: &str) -> anyhow::Result<Process> {
         let dir = self.dir.path();
         let settings = files::write_settings(dir, &self.plan, name, place, role, &self.contacts)?;
-        let process = Process::start("waxwingd", name, [settings], dir).await?;
-        Ok(Vm {
-            front_addr: process.addr("front")?,
-            desk_addr: process.addr("desk")?,
-            place: place.clone(),
-            process,
-        })
+        Process::start("waxwingd", name, [settings], dir).await
     }
 
     async fn start_backends(&mut self) -> anyhow::Result<()> {
--- /dev/null
+++ b/crates/rig/tests/departures.rs
@@ -0,0 +1,156 @@
+//! Entry VMs and backend servers leave, announced or not, under load.
+
+use std::time::Duration;
+
+use rig::process::wait_until;
+use rig::site::{Backend, Call, Client, Plan, Site, keys};
+use waxwingctl::load::{Profile, Report, Stream, run};
+
+/// A draining backend server gets nothing new after this time.
+const DRAIN_MAX_MS: u64 = 3_000;
+const EXIT_WAIT: Duration = Duration::from_secs(30);
+
+async fn site() -> Site {
+    Site::start(Plan::small().unwrap()).await.unwrap()
+}
+
+/// Short work at 100 a second.
+async fn load(site: &Site, seconds: f64) -> Report {
+    let stream = Stream::new("terminy".parse().unwrap(), 100.0, keys()).with_deadline_ms(3_000);
+    run(&Profile::new(site.desks(), seconds, 11).with_streams(vec![stream])).await
+}
+
+async fn started(site: &Site) -> u64 {
+    let mut sum = 0;
+    for backend in site.fleet("terminy") {
+        sum += backend.stats().await.map_or(0, |s| s.started);
+    }
+    sum
+}
+
+async fn until_started(site: &Site, count: u64) {
+    let is_under_way = || async { (started(site).await >= count).then_some(()) };
+    wait_until("load is under way", is_under_way).await.unwrap();
+}
+
+fn assert_none_lost(report: &Report) {
+    let lost: u64 = report.rows.iter().map(waxwingctl::load::Row::lost).sum();
+    assert_eq!(lost, 0, "\n{}", report.to_table());
+}
+
+#[tokio::test]
+async fn killed_entry_vm_loses_no_idempotent_request() {
+    let mut site = site().await;
+    let (first, others) = (site.entries.remove(0), &site);
+    let desks = [vec![first.desk_addr], others.desks()].concat();
+    let stream = Stream::new("terminy".parse().unwrap(), 100.0, keys()).with_deadline_ms(3_000);
+    let profile = Profile::new(desks, 4.0, 11).with_streams(vec![stream]);
+    let mut first = first;
+    let kill = async {
+        until_started(others, 50).await;
+        first.process.kill().await.unwrap();
+    };
+    let (report, ()) = tokio::join!(run(&profile), kill);
+    assert_none_lost(&report);
+    assert!(report.rows[0].retried > 0, "\n{}", report.to_table());
+}
+
+#[tokio::test]
+async fn terminated_entry_vm_cuts_no_request() {
+    let mut site = site().await;
+    let mut first = site.entries.remove(0);
+    let slow = Call::new("/terminy/?rig-ms=700");
+    let slow = (0..8).map(|_| slow.send_to(first.front_addr));
+    let slow = futures_util::future::join_all(slow);
+    let leave = async {
+        until_started(&site, 8).await;
+        first.process.terminate().unwrap();
+    };
+    let (replies, ()) = tokio::join!(slow, leave);
+    for reply in replies {
+        assert_eq!(reply.unwrap().status, 200);
+    }
+    assert!(first.process.ended(EXIT_WAIT).await.unwrap().success());
+}
+
+#[tokio::test]
+async fn terminated_entry_vm_loses_no_request_under_load() {
+    let mut site = site().await;
+    let mut first = site.entries.remove(0);
+    let desks = [vec![first.desk_addr], site.desks()].concat();
+    let streams = vec![
+        Stream::new("terminy".parse().unwrap(), 100.0, keys()).with_deadline_ms(3_000),
+        Stream::new("podklady".parse().unwrap(), 5.0, keys()).with_deadline_ms(10_000),
+    ];
+    let profile = Profile::new(desks, 4.0, 12).with_streams(streams);
+    let leave = async {
+        until_started(&site, 50).await;
+        first.process.terminate().unwrap();
+    };
+    let (report, ()) = tokio::join!(run(&profile), leave);
+    assert_none_lost(&report);
+    assert!(first.process.ended(EXIT_WAIT).await.unwrap().success());
+}
+
+/// Milliseconds from now, by the server's clock, to its last start of work.
+async fn drained_after_ms(backend: &Backend, age_ms: u64) -> u64 {
+    let stats = backend.stats().await.unwrap();
+    stats.last_started_ms.saturating_sub(age_ms)
+}
+
+#[tokio::test]
+async fn server_drained_by_operator_gets_nothing_new() {
+    let site = site().await;
+    let server = site.fleet("terminy").next().unwrap();
+    let drain = async {
+        until_started(&site, 50).await;
+        let age_ms = server.stats().await.unwrap().age_ms;
+        let said = site
+            .ctl(&["drain", &format!("server:{}", server.name)])
+            .await
+            .unwrap();
+        assert_eq!(said.code, 0, "{}", said.err);
+        age_ms
+    };
+    let (report, age_ms) = tokio::join!(load(&site, 6.0), drain);
+    assert_none_lost(&report);
+    let after_ms = drained_after_ms(server, age_ms).await;
+    assert!(after_ms <= DRAIN_MAX_MS, "new work after {after_ms} ms");
+}
+
+#[tokio::test]
+async fn server_that_announces_its_leaving_gets_nothing_new() {
+    let mut site = site().await;
+    let at = site
+        .backends
+        .iter()
+        .position(|b| b.service.as_str() == "terminy");
+    let mut server = site.backends.remove(at.unwrap());
+    let drain = async {
+        until_started(&site, 50).await;
+        server.process.terminate().unwrap();
+        server.process.ended(EXIT_WAIT).await.unwrap()
+    };
+    let (report, status) = tokio::join!(load(&site, 4.0), drain);
+    assert_none_lost(&report);
+    assert!(status.success());
+}
+
+#[tokio::test]
+async fn last_servers_are_drained_only_when_insisted_on() {
+    let site = site().await;
+    let said = site.ctl(&["drain", "region:zapad"]).await.unwrap();
+    insta::assert_snapshot!(format!("exit code {}\n{}", said.code, said.err));
+    let insist = ["drain", "region:zapad", "--insist", "--wait", "10"];
+    assert_eq!(site.ctl(&insist).await.unwrap().code, 0);
+    let reply = Call::new("/terminy/")
+        .send_to(site.entries[0].front_addr)
+        .await
+        .unwrap();
+    assert_eq!(reply.summary(), "503 no_server not run");
+    let undrain = ["undrain", "region:zapad", "--wait", "10"];
+    assert_eq!(site.ctl(&undrain).await.unwrap().code, 0);
+    let client = Client::new(site.desks()[0], "terminy").await.unwrap();
+    let reply = client.call(&Call::new("/terminy/")).await.unwrap();
+    assert_eq!(reply.status, 200);
+}
