Replicate configuration and ledger over the control VMs

Cause: the thin control kept both on one disk, so the loss of one VM lost them. Ruled out: one group for both states (bookings would hold up changes), and a ledger on the first control VM only. Before: one file each. After: Group runs a replica behind a table of rank Log, stores off the lock, and serves configuration and ledger; any control VM takes a change and forwards it; reads are confirmed; status shows the replicas of each group; an operator can take out a lost disk. A question to the ledger that may have been taken is no longer reported as refused by the next replica.

--- a/crates/control/src/desk.rs
+++ b/crates/control/src/desk.rs
@@ -5,19 +5,21 @@
 use ::desk::{KEY_HEADER, Refusal, header};
 use dropshot::{ApiDescription, HttpResponseOk, HttpResponseUpdatedNoContent};
 use dropshot::{Path, RequestContext, TypedBody, endpoint};
-use quorum::{MemberStatus, Role};
+use quorum::{MemberStatus, ReplicaStatus, Role};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use world::{Change, Config, Error, KeyDigest, Kind, MachineName};
 
-use crate::keeper::Keeper;
+use crate::keeper::CONFIG_GROUP;
+use crate::ledger::LEDGER_GROUP;
+use crate::serve::Server;
 
 /// What the desk works on.
 pub struct Context {
     /// Name of this machine.
     pub name: MachineName,
-    /// The configuration.
-    pub keeper: Arc<Keeper>,
+    /// The replicas of this machine.
+    pub server: Arc<Server>,
     /// Digests of operators' keys that hold besides those in the lists.
     pub operator_key_sha256: Vec<KeyDigest>,
 }
@@ -25,7 +27,7 @@
 impl Context {
     fn admit(&self, key: &str) -> Result<(), Error> {
         let shown = KeyDigest::of(key);
-        let config = self.keeper.config();
+        let config = self.server.keeper.config();
         let mut known = config
             .lists
             .operators
@@ -53,6 +55,15 @@
     pub name: MachineName,
     /// Version of the configuration in force here.
     pub config_version: u64,
+    /// The groups that this machine has a replica of.
+    pub groups: Vec<GroupStatus>,
+}
+
+/// State of one group as this machine's replica sees it.
+#[derive(Debug, Deserialize, JsonSchema, Serialize)]
+pub struct GroupStatus {
+    /// Name of the group.
+    pub name: String,
     /// Identity of this replica's disk.
     pub disk: String,
     /// Why this replica has stopped, when its disk failed.
@@ -74,6 +85,23 @@
     pub repaired: bool,
 }
 
+impl GroupStatus {
+    fn new(name: &str, status: ReplicaStatus, failed: Option<&Error>) -> Self {
+        Self {
+            name: name.into(),
+            disk: status.disk,
+            failed: failed.map(ToString::to_string),
+            term: status.term,
+            leader: status.leader,
+            commit: status.commit,
+            applied: status.applied,
+            replicas: status.members.into_iter().map(Replica::from).collect(),
+            missing: status.missing,
+            repaired: status.repaired,
+        }
+    }
+}
+
 /// A member of the group of control replicas.
 #[derive(Debug, Deserialize, JsonSchema, Serialize)]
 pub struct Replica {
@@ -107,10 +135,12 @@
     }
 }
 
-/// A control VM in the path of a call.
+/// A replica in the path of a call.
 #[derive(Debug, Deserialize, JsonSchema)]
 pub struct ReplicaPath {
-    /// Its name.
+    /// Name of its group.
+    pub group: String,
+    /// Its machine.
     pub name: MachineName,
 }
 
@@ -133,7 +163,7 @@
 async fn get_config(request: RequestContext<Context>) -> Result<HttpResponseOk<Config>, Refusal> {
     let context = request.context();
     context.admit(header(&request, KEY_HEADER))?;
-    let config = context.keeper.confirmed().await?;
+    let config = context.server.keeper.confirmed().await?;
     Ok(HttpResponseOk(config))
 }
 
@@ -146,23 +176,30 @@
     let context = request.context();
     context.admit(header(&request, KEY_HEADER))?;
     let change = change.into_inner();
-    let version = context.keeper.accept(&change).await?;
+    let version = context.server.keeper.accept(&change).await?;
     log::info!(target: "control", change:% = change.id, version; "change accepted");
     Ok(HttpResponseOk(Accepted { version }))
 }
 
 /// Takes a lost replica's disk out of the group; its machine may then join
 /// with a new disk.
-#[endpoint { method = POST, path = "/v1/replicas/{name}/replace" }]
+#[endpoint { method = POST, path = "/v1/groups/{group}/replicas/{name}/replace" }]
 async fn replace(
     request: RequestContext<Context>,
     path: Path<ReplicaPath>,
 ) -> Result<HttpResponseUpdatedNoContent, Refusal> {
     let context = request.context();
     context.admit(header(&request, KEY_HEADER))?;
-    let name = path.into_inner().name;
-    context.keeper.replace(&name).await?;
-    log::info!(target: "control", replica:% = name; "disk taken out of the group");
+    let ReplicaPath { group, name } = path.into_inner();
+    match group.as_str() {
+        CONFIG_GROUP => context.server.keeper.group.remove(&name).await?,
+        LEDGER_GROUP => context.server.ledger_group.remove(&name).await?,
+        _ => {
+            let error = Error::new(Kind::BadRequest, format!("no group {group:?}"));
+            return Err(error.into());
+        }
+    }
+    log::info!(target: "control", group, replica:% = name; "disk taken out of the group");
     Ok(HttpResponseUpdatedNoContent())
 }
 
@@ -170,18 +207,16 @@
 #[endpoint { method = GET, path = "/v1/status" }]
 async fn get_status(request: RequestContext<Context>) -> Result<HttpResponseOk<Status>, Refusal> {
     let context = request.context();
-    let group = context.keeper.status();
+    let server = &context.server;
+    let config = &server.keeper.group;
+    let ledger = &server.ledger_group;
+    let groups = vec![
+        GroupStatus::new(CONFIG_GROUP, config.status(), config.failed().as_ref()),
+        GroupStatus::new(LEDGER_GROUP, ledger.status(), ledger.failed().as_ref()),
+    ];
     Ok(HttpResponseOk(Status {
         name: context.name.clone(),
-        config_version: context.keeper.version(),
-        disk: group.disk,
-        failed: context.keeper.failed().map(|error| error.to_string()),
-        term: group.term,
-        leader: group.leader,
-        commit: group.commit,
-        applied: group.applied,
-        replicas: group.members.into_iter().map(Replica::from).collect(),
-        missing: group.missing,
-        repaired: group.repaired,
+        config_version: server.keeper.version(),
+        groups,
     }))
 }
--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use peers::Links;
-use quorum::{Disk, ReplicaStatus, Settings};
 use tokio::time::{Instant, sleep};
 use wire::Body;
 use wire::body::{ChangeAsk, ChangeGive, ConfigAsk};
@@ -15,6 +14,7 @@
 use crate::courier::LinkCourier;
 use crate::group::Group;
 use crate::registry::Registry;
+use crate::serve::Server;
 
 /// Name of the group that keeps the configuration.
 pub const CONFIG_GROUP: &str = "config";
@@ -30,31 +30,28 @@
 
 /// Keeps the configuration together with the other control replicas.
 pub struct Keeper {
-    group: Arc<Group<Registry, LinkCourier>>,
+    /// This machine's replica.
+    pub group: Arc<Group<Registry, LinkCourier>>,
     addrs: HashMap<MachineName, SocketAddr>,
-    links: OnceLock<Arc<Links<Keeper>>>,
+    links: OnceLock<Arc<Links<Server>>>,
 }
 
 impl Keeper {
-    /// Starts the replica of this machine; the others stand at `addrs`.
-    ///
-    /// # Errors
-    /// When the disk can't be read.
-    pub fn new<D: Disk + Send + 'static>(
-        settings: Settings,
-        disk: D,
-        courier: LinkCourier,
+    /// A keeper on this machine's replica; the others stand at `addrs`.
+    #[must_use]
+    pub fn new(
+        group: Arc<Group<Registry, LinkCourier>>,
         addrs: HashMap<MachineName, SocketAddr>,
-    ) -> Result<Self> {
-        Ok(Self {
-            group: Group::start(settings, disk, Registry::default(), courier)?,
+    ) -> Self {
+        Self {
+            group,
             addrs,
             links: OnceLock::new(),
-        })
+        }
     }
 
     /// Gives the links over which calls are forwarded; only the first time counts.
-    pub fn connect(&self, links: Arc<Links<Keeper>>) {
+    pub fn connect(&self, links: Arc<Links<Server>>) {
         let _ = self.links.set(links);
     }
 
@@ -70,18 +67,6 @@
         self.group.look(|registry| registry.config().version)
     }
 
-    /// The group as this replica sees it.
-    #[must_use]
-    pub fn status(&self) -> ReplicaStatus {
-        self.group.status()
-    }
-
-    /// Why this replica has stopped, when its disk failed.
-    #[must_use]
-    pub fn failed(&self) -> Option<Error> {
-        self.group.failed()
-    }
-
     /// Accepts a change on a majority of replicas, through the leader; gives
     /// its version.
     ///
@@ -130,20 +115,6 @@
         }
     }
 
-    /// Takes the disk of a lost replica out of the group, so that its machine
-    /// may join with a new one.
-    ///
-    /// # Errors
-    /// [`Kind::NotLeader`], which names the leader, or as [`Group::remove`].
-    pub async fn replace(&self, name: &MachineName) -> Result<()> {
-        self.group.remove(name).await
-    }
-
-    /// Takes in a message of another replica.
-    pub fn receive(&self, payload: &[u8]) {
-        self.group.receive(payload);
-    }
-
     /// Proposes at this replica alone.
     pub(crate) async fn accept_here(&self, command: &[u8]) -> Result<u64> {
         self.group.propose(command).await?
@@ -155,11 +126,6 @@
         config.await
     }
 
-    /// Ends the replica's tasks.
-    pub fn stop(&self) {
-        self.group.stop();
-    }
-
     async fn accept_once(&self, command: &[u8]) -> Result<u64> {
         if self.group.is_leader() {
             return self.accept_here(command).await;
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -1,7 +1,7 @@
 //! The ledger at a control VM: questions of entry VMs in, replies out.
 
 pub mod machine;
-pub mod single;
+pub mod shared;
 
 use std::future::Future;
 
@@ -12,7 +12,6 @@
 use world::{Error, Kind, Rank, Ranked};
 
 pub use machine::LedgerMachine;
-pub use single::Single;
 
 /// Name of the group that keeps the ledger.
 pub const LEDGER_GROUP: &str = "ledger";
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,14 +1,11 @@
-//! The control role: keeps the configuration on a disk and gives it out.
+//! The control role: keeps configuration and ledger on disks and gives them out.
 
 pub mod courier;
 pub mod desk;
 pub mod group;
 pub mod keeper;
-<<<<<<< HEAD
-pub mod registry;
-=======
 pub mod ledger;
->>>>>>> main
+pub mod registry;
 pub mod serve;
 pub mod start;
 
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -4,50 +4,40 @@
 
 use bytes::Bytes;
 use peers::Serve;
-use wire::body::{ChangeAsk, ChangeGive, ConfigAsk, ConfigGive};
+use wire::body::{ChangeAsk, ChangeGive, ConfigAsk, ConfigGive, Group};
 use wire::{Body, Refusal};
 use world::{Config, Error, Kind, MachineName, Result};
 
-<<<<<<< HEAD
 use crate::keeper::{CONFIG_GROUP, Keeper};
-=======
-use crate::keeper::Keeper;
-use crate::ledger::{LedgerDesk, Single};
->>>>>>> main
+use crate::ledger::shared::LedgerGroup;
+use crate::ledger::{LEDGER_GROUP, LedgerDesk};
 
 /// What a control VM answers other processes from.
 pub struct Server {
     /// The configuration.
     pub keeper: Arc<Keeper>,
-    /// The ledger, on the control VM that keeps it.
-    pub ledger: Option<LedgerDesk<Single>>,
+    /// This machine's replica of the ledger.
+    pub ledger_group: Arc<LedgerGroup>,
+    /// The desk before that ledger.
+    pub ledger: LedgerDesk<Arc<LedgerGroup>>,
 }
 
 impl Serve for Server {
     async fn serve(self: &Arc<Self>, _from: &MachineName, body: Body) -> Option<Body> {
-<<<<<<< HEAD
         let answer = match body {
-            Body::Group(message) if message.group == CONFIG_GROUP => {
-                self.receive(&message.payload);
+            Body::Group(message) => {
+                self.receive(&message);
                 return None;
             }
-            Body::ChangeAsk(ask) => self.take(&ask).await,
-            Body::ConfigAsk(ask) => self.give(&ask).await,
+            Body::LedgerAsk(ask) => return Some(self.ledger.answer(&ask).await),
+            Body::ChangeAsk(ask) => self.keeper.take(&ask).await,
+            Body::ConfigAsk(ask) => self.keeper.give(&ask).await,
             _ => Err(Error::new(
                 Kind::BadRequest,
                 "not a message for a control VM",
             )),
         };
         Some(answer.unwrap_or_else(|error| Body::Refusal(Refusal::from(&error))))
-=======
-        let error = match (body, &self.ledger) {
-            (Body::ConfigAsk(ask), _) => return Some(self.keeper.give(&ask)),
-            (Body::LedgerAsk(ask), Some(ledger)) => return Some(ledger.answer(&ask).await),
-            (Body::LedgerAsk(_), None) => Error::new(Kind::NotLeader, "keeps no ledger"),
-            _ => Error::new(Kind::BadRequest, "not a message for a control VM"),
-        };
-        Some(Body::Refusal(Refusal::from(&error)))
->>>>>>> main
     }
 
     fn config_version(&self) -> u64 {
@@ -57,6 +47,16 @@
     fn heard_version(&self, _from: &MachineName, _version: u64) {}
 }
 
+impl Server {
+    fn receive(&self, message: &Group) {
+        match message.group.as_str() {
+            CONFIG_GROUP => self.keeper.group.receive(&message.payload),
+            LEDGER_GROUP => self.ledger_group.receive(&message.payload),
+            other => log::warn!(target: "control", group = other; "message for an unknown group"),
+        }
+    }
+}
+
 impl Keeper {
     async fn take(&self, ask: &ChangeAsk) -> Result<Body> {
         let version = self.accept_here(&ask.change_json).await?;
--- a/crates/control/src/start.rs
+++ b/crates/control/src/start.rs
@@ -1,35 +1,27 @@
 //! Start of the control role.
 
-<<<<<<< HEAD
 use std::collections::HashMap;
-=======
->>>>>>> main
-use std::path::Path;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 
 use anyhow::{Context as _, Result};
 use conf::{ControlAddrs, Settings};
 use dropshot::HttpServer;
-<<<<<<< HEAD
-use peers::{Identity, Links, accept};
-use quorum::FileDisk;
-=======
 use once::Limits;
-use peers::{Identity, accept};
->>>>>>> main
+use peers::{Identity, Links, accept};
+use quorum::{FileDisk, Machine};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use world::MachineName;
 
-use crate::courier::LinkCourier;
+use crate::courier::{LinkCourier, Outgoing};
 use crate::desk::{Context, api};
-<<<<<<< HEAD
+use crate::group::Group;
 use crate::keeper::{CONFIG_GROUP, Keeper};
-=======
-use crate::keeper::Keeper;
-use crate::ledger::{LEDGER_GROUP, LedgerDesk, Single};
+use crate::ledger::{LEDGER_GROUP, LedgerDesk, LedgerMachine};
+use crate::registry::Registry;
 use crate::serve::Server;
->>>>>>> main
 
 /// A running control role.
 pub struct Control {
@@ -37,7 +29,7 @@
     pub addrs: ControlAddrs,
     desk: HttpServer<Context>,
     links: JoinHandle<()>,
-    keeper: Arc<Keeper>,
+    server: Arc<Server>,
 }
 
 /// Starts the control role with these settings.
@@ -45,16 +37,6 @@
 /// # Errors
 /// When the data folder can't be opened or an address can't be bound.
 pub async fn start(settings: &Settings) -> Result<Control> {
-    let dir = settings.data_dir.clone().context("no data_dir is set")?;
-<<<<<<< HEAD
-=======
-    let ledger = ledger(settings, &dir)?;
-    let keeper = Arc::new(Keeper::open(dir)?);
-    let server = Arc::new(Server {
-        keeper: Arc::clone(&keeper),
-        ledger,
-    });
->>>>>>> main
     let listen = settings
         .control_listen
         .context("no control_listen is set")?;
@@ -63,16 +45,11 @@
         .with_context(|| format!("could not bind {}", listen.link))?;
     let link = listener.local_addr()?;
     let identity = Identity::new(settings.name.clone(), settings.secret.clone());
-<<<<<<< HEAD
-    let keeper = keep(settings, &dir, &identity)?;
-    let links = tokio::spawn(accept(listener, identity, Arc::clone(&keeper)));
-    let kept = Arc::clone(&keeper);
-=======
-    let links = tokio::spawn(accept(listener, identity, server));
->>>>>>> main
+    let server = serve(settings, &identity)?;
+    let links = tokio::spawn(accept(listener, identity, Arc::clone(&server)));
     let context = Context {
         name: settings.name.clone(),
-        keeper,
+        server: Arc::clone(&server),
         operator_key_sha256: settings.operator_key_sha256.clone(),
     };
     let desk = ::desk::start(api(), context, listen.desk)?;
@@ -83,39 +60,70 @@
         },
         desk,
         links,
-        keeper: kept,
+        server,
     })
 }
 
-<<<<<<< HEAD
-/// Starts this machine's replica of the configuration and its links to the others.
-fn keep(settings: &Settings, dir: &Path, identity: &Identity) -> Result<Arc<Keeper>> {
-    let me = &settings.name;
-    let mut names: Vec<MachineName> = settings.control.iter().map(|c| c.name.clone()).collect();
-    names.push(me.clone());
-    names.sort();
-    names.dedup();
-    let others = settings.control.iter().filter(|c| c.name != *me);
-    let addrs: HashMap<_, _> = others.map(|c| (c.name.clone(), c.link)).collect();
-    let (courier, outgoing) = LinkCourier::new(CONFIG_GROUP, addrs.clone());
-    let disk = FileDisk::new(&dir.join(CONFIG_GROUP))?;
-    let replica = quorum::Settings::new(me.clone(), names, rand::random());
-    let keeper = Arc::new(Keeper::new(replica, disk, courier, addrs)?);
-    let links = Arc::new(Links::new(identity.clone(), Arc::clone(&keeper)));
-    outgoing.carry(&links);
+/// Starts this machine's replicas and their links to the others.
+fn serve(settings: &Settings, identity: &Identity) -> Result<Arc<Server>> {
+    let site = Site::new(settings)?;
+    let (config, config_out) = site.group(CONFIG_GROUP, Registry::default())?;
+    let ledger = LedgerMachine::new(Limits::default());
+    let (ledger_group, ledger_out) = site.group(LEDGER_GROUP, ledger)?;
+    let keeper = Arc::new(Keeper::new(config, site.others));
+    let server = Arc::new(Server {
+        keeper: Arc::clone(&keeper),
+        ledger: LedgerDesk::new(Arc::clone(&ledger_group)),
+        ledger_group,
+    });
+    let links = Arc::new(Links::new(identity.clone(), Arc::clone(&server)));
+    config_out.carry(&links);
+    ledger_out.carry(&links);
     keeper.connect(links);
-    Ok(keeper)
-=======
-/// The ledger, on the first of the control VMs only.
-fn ledger(settings: &Settings, dir: &Path) -> Result<Option<LedgerDesk<Single>>> {
-    let first = settings.control.first();
-    if first.is_some_and(|replica| replica.name != settings.name) {
-        return Ok(None);
+    Ok(server)
+}
+
+/// The control replicas as this machine's settings name them.
+struct Site {
+    me: MachineName,
+    names: Vec<MachineName>,
+    others: HashMap<MachineName, SocketAddr>,
+    dir: PathBuf,
+}
+
+impl Site {
+    fn new(settings: &Settings) -> Result<Self> {
+        let me = settings.name.clone();
+        let rows = settings.control.iter().filter(|c| c.name != me);
+        let others: HashMap<_, _> = rows.map(|c| (c.name.clone(), c.link)).collect();
+        // In the same order on every machine: the first one founds the groups.
+        let mut names: Vec<MachineName> = others.keys().cloned().collect();
+        names.push(me.clone());
+        names.sort();
+        Ok(Self {
+            me,
+            names,
+            others,
+            dir: settings.data_dir.clone().context("no data_dir is set")?,
+        })
+    }
+
+    fn group<M>(
+        &self,
+        name: &'static str,
+        machine: M,
+    ) -> Result<(Arc<Group<M, LinkCourier>>, Outgoing)>
+    where
+        M: Machine + Send + 'static,
+        M::Output: Send,
+    {
+        let disk = FileDisk::new(&self.dir.join(name))?;
+        let replica = quorum::Settings::new(self.me.clone(), self.names.clone(), rand::random());
+        let (courier, outgoing) = LinkCourier::new(name, self.others.clone());
+        let group = Group::start(replica, disk, machine, courier)
+            .with_context(|| format!("could not open the group {name}"))?;
+        Ok((group, outgoing))
     }
-    let single = Single::open(&dir.join(LEDGER_GROUP), Limits::default())
-        .context("could not open the ledger")?;
-    Ok(Some(LedgerDesk::new(single)))
->>>>>>> main
 }
 
 impl Control {
@@ -125,6 +133,7 @@
             log::warn!(target: "control", error:% = error; "desk did not close cleanly");
         }
         self.links.abort();
-        self.keeper.stop();
+        self.server.keeper.group.stop();
+        self.server.ledger_group.stop();
     }
 }
--- a/crates/entry/src/booking/ledger.rs
+++ b/crates/entry/src/booking/ledger.rs
@@ -9,7 +9,7 @@
 use peers::Links;
 use wire::Body;
 use wire::body::LedgerAsk;
-use world::{Error, Kind};
+use world::{Error, Kind, Ran};
 
 use crate::state::State;
 
@@ -64,6 +64,8 @@
                     self.first.store(at, Ordering::Relaxed);
                     return Ok(reply);
                 }
+                // A question that may have been taken outweighs later refusals.
+                Err(_) if last.kind.answer().ran == Ran::Unknown => {}
                 Err(error) => last = error,
             }
         }
