--- a/crates/once/tests/common/mod.rs
+++ b/crates/once/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, missing_docs)]
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use once::{
@@ -11,31 +12,10 @@
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use todc_utils::Action;
+use rig::history::{Event, Timed};
 use tokio::time::{Instant, sleep};
 use world::{CustomerName, Error, Kind, Rank, Ranked};
 
-/// What a caller heard.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub enum Heard {
-    /// The answer of the run that this send made.
-    Answer(usize),
-    NotRun,
-    /// The ledger does not know the outcome.
-    Unknown,
-    /// Nothing was learned, or the caller is gone.
-    Nothing,
-}
-
-/// One operation of a history about one key.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub enum Event {
-    /// A send of a caller, by number, and what it heard.
-    Send(usize, Heard),
-    /// A backend server started the work of this send.
-    Run(usize),
-}
-
 /// Chances of faults, per cent.
 #[derive(Clone, Copy, Default)]
 pub struct Faults {
@@ -51,7 +31,8 @@
 pub struct Site {
     ledger: Ranked<Ledger>,
     rng: Ranked<StdRng>,
-    pub history: Ranked<Vec<(usize, Action<Event>)>>,
+    pub history: Ranked<Vec<Timed>>,
+    steps: AtomicU64,
     clock: LedgerClock,
     faults: Faults,
 }
@@ -62,6 +43,7 @@
             ledger: Ranked::new(Rank::Ledger, Ledger::new(Limits::default())),
             rng: Ranked::new(Rank::Queues, StdRng::seed_from_u64(seed)),
             history: Ranked::new(Rank::Stats, Vec::new()),
+            steps: AtomicU64::new(0),
             clock: LedgerClock::new(0, Instant::now()),
             faults,
         })
@@ -80,8 +62,13 @@
         self.ledger.lock().apply(Command { now_ms, request })
     }
 
-    pub fn record(&self, process: usize, action: Action<Event>) {
-        self.history.lock().push((process, action));
+    /// The next point in time.
+    pub fn step(&self) -> u64 {
+        self.steps.fetch_add(1, Ordering::Relaxed)
+    }
+
+    pub fn record(&self, event: Event, from: u64, to: Option<u64>) {
+        self.history.lock().push(Timed::new(event, from, to));
     }
 
     /// Draws the moment at which a VM dies.
@@ -175,9 +162,8 @@
         let server = Arc::clone(&site);
         let work = tokio::spawn(async move {
             sleep(way).await;
-            let process = 1_000 + server.history.lock().len();
-            server.record(process, Action::Call(Event::Run(send)));
-            server.record(process, Action::Response(Event::Run(send)));
+            let step = server.step();
+            server.record(Event::Run(send), step, Some(step));
             sleep(run).await;
         });
         if site.chance(site.faults.lose_answer) {
--- a/crates/once/tests/history.rs
+++ b/crates/once/tests/history.rs
@@ -8,81 +8,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::{Event, Faults, Heard, Site, Vm, digest, id};
+use common::{Faults, Site, Vm, digest, id};
 use once::{Job, Settled, Steward, StoredAnswer};
+use rig::history::{Event, Heard, Timed, is_linearizable};
 use rstest::rstest;
-use todc_utils::{Action, History, Specification, WGLChecker};
 use tokio::time::{Instant, sleep};
 use world::{Error, Kind, Ran};
 
 const SENDS: usize = 6;
 const DEADLINE: Duration = Duration::from_secs(5);
 
-/// A key runs at most once, never for a send that heard "not run", and once an
-/// answer was heard the ledger has it for good.
-struct AtMostOnce;
-
-#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
-struct KeyState {
-    ran: Option<usize>,
-    answered: bool,
-    refused: Vec<usize>,
-}
-
-impl Specification for AtMostOnce {
-    type Operation = Event;
-    type State = KeyState;
-
-    fn init() -> KeyState {
-        KeyState::default()
-    }
-
-    fn apply(event: &Event, state: &KeyState) -> (bool, KeyState) {
-        let mut next = state.clone();
-        let valid = match *event {
-            Event::Send(_, Heard::Nothing) => true,
-            Event::Send(_, Heard::Unknown) => !state.answered,
-            Event::Send(_, Heard::Answer(run)) => {
-                next.answered = true;
-                state.ran == Some(run)
-            }
-            Event::Send(send, Heard::NotRun) => {
-                next.refused.push(send);
-                next.refused.sort_unstable();
-                state.ran.is_none()
-            }
-            Event::Run(send) => {
-                next.ran = Some(send);
-                state.ran.is_none() && !state.refused.contains(&send)
-            }
-        };
-        if valid {
-            (true, next)
-        } else {
-            (false, state.clone())
-        }
-    }
-}
-
-fn linearizable(mut actions: Vec<(usize, Action<Event>)>) -> bool {
-    let open: Vec<usize> = (0..SENDS)
-        .filter(|send| actions.iter().filter(|(p, _)| p == send).count() == 1)
-        .collect();
-    for send in open {
-        let event = Event::Send(send, Heard::Nothing);
-        actions.push((send, Action::Response(event)));
-    }
-    WGLChecker::<AtMostOnce>::is_linearizable(History::from_actions(actions))
-}
-
-fn call(event: Event, process: usize) -> (usize, Action<Event>) {
-    (process, Action::Call(event))
-}
-
-fn response(event: Event, process: usize) -> (usize, Action<Event>) {
-    (process, Action::Response(event))
-}
-
 #[rstest]
 #[case::two_runs(&[Event::Run(0), Event::Run(1)], false)]
 #[case::not_run_then_run(&[Event::Send(0, Heard::NotRun), Event::Run(0)], false)]
@@ -91,9 +26,9 @@
 #[case::answer_without_run(&[Event::Send(0, Heard::Answer(0))], false)]
 #[case::one_run(&[Event::Send(0, Heard::NotRun), Event::Run(1), Event::Send(2, Heard::Answer(1))], true)]
 fn checker_is_proved_first(#[case] events: &[Event], #[case] holds: bool) {
-    let pair = |(at, event): (usize, &Event)| [call(*event, 100 + at), response(*event, 100 + at)];
-    let actions = events.iter().enumerate().flat_map(pair).collect();
-    assert_eq!(linearizable(actions), holds);
+    let timed = |(at, event): (u64, &Event)| Timed::new(*event, at, Some(at));
+    let operations: Vec<Timed> = (0..).zip(events).map(timed).collect();
+    assert_eq!(is_linearizable(&operations), holds);
 }
 
 fn heard(result: &Result<Settled<StoredAnswer>, Error>) -> Heard {
@@ -117,8 +52,7 @@
 async fn send(site: Arc<Site>, number: usize) -> Option<String> {
     sleep(site.draw_ms(10_000)).await;
     let vm = Vm::new(&site, number);
-    let event = Event::Send(number, Heard::Nothing);
-    site.record(number, Action::Call(event));
+    let from = site.step();
     let job = Job {
         id: id("booking-1"),
         digest: digest("slot 7"),
@@ -126,10 +60,11 @@
     };
     let result = Steward::new(vm.clone()).run(&job, &mut vm.clone()).await;
     if vm.dead() {
+        site.record(Event::Send(number, Heard::Nothing), from, None);
         return None;
     }
     let event = Event::Send(number, heard(&result));
-    site.record(number, Action::Response(event));
+    site.record(event, from, Some(site.step()));
     Some(label(&result))
 }
 
@@ -143,7 +78,7 @@
     crash: 25,
 };
 
-fn run_seed(seed: u64, totals: &mut BTreeMap<String, usize>) -> Vec<(usize, Action<Event>)> {
+fn run_seed(seed: u64, totals: &mut BTreeMap<String, usize>) -> Vec<Timed> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .start_paused(true)
@@ -167,11 +102,11 @@
 fn histories_are_linearizable() {
     let mut totals = BTreeMap::new();
     for seed in 0..400 {
-        let actions = run_seed(seed, &mut totals);
-        let is_run = |a: &&(usize, Action<Event>)| matches!(a.1, Action::Call(Event::Run(_)));
-        let runs = actions.iter().filter(is_run).count();
+        let operations = run_seed(seed, &mut totals);
+        let is_run = |o: &&Timed| matches!(o.event, Event::Run(_));
+        let runs = operations.iter().filter(is_run).count();
         *totals.entry(format!("keys with {runs} runs")).or_default() += 1;
-        assert!(linearizable(actions.clone()), "seed {seed}: {actions:#?}");
+        assert!(is_linearizable(&operations), "seed {seed}: {operations:#?}");
     }
     insta::assert_json_snapshot!(totals);
 }
