Tell whether a class fits, without dyn in the queue

Cause: the wake-up of waiting work needs to know whether a class fits before it takes a piece out, else the piece loses its place; the queue used a dyn closure. Ruled out: popping and pushing back (loses the order). Before: no such question. After: Fleet::fits, Fleet::serves; two ranks for the tables that the request path adds.

--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -194,11 +194,10 @@
             None => false,
             Some(least) if *least != new.priority => *least < new.priority,
             Some(least) => {
-                let of = |f: &dyn Fn(&Lane<T>) -> usize| {
-                    let found = lanes.iter().filter_map(|l| l.get(least)).map(f);
-                    found.max().unwrap_or(0)
-                };
-                of(&Lane::longest) > of(&|lane: &Lane<T>| lane.count_of(&new.customer)) + 1
+                let found = || lanes.iter().filter_map(|l| l.get(least));
+                let longest = found().map(Lane::longest).max().unwrap_or(0);
+                let own = found().map(|lane| lane.count_of(&new.customer)).max();
+                longest > own.unwrap_or(0) + 1
             }
         }
     }
--- a/crates/pick/src/fleet.rs
+++ b/crates/pick/src/fleet.rs
@@ -155,6 +155,22 @@
         })
     }
 
+    /// Whether work of a class without history would get a slot now.
+    #[must_use]
+    pub fn fits(&self, now: Instant, service: &str, class: Class) -> bool {
+        self.groups
+            .get(service)
+            .is_some_and(|group| group.has_room(now, &self.settings, class))
+    }
+
+    /// Whether some server of the service takes new work, full or not.
+    #[must_use]
+    pub fn serves(&self, now: Instant, service: &str) -> bool {
+        self.groups
+            .get(service)
+            .is_some_and(|group| group.servers.iter().any(|s| s.serves(now)))
+    }
+
     /// Gives a slot back with the outcome of its work.
     pub fn done(&mut self, now: Instant, ticket: Ticket, outcome: Outcome) {
         let Ticket {
--- a/crates/pick/src/group.rs
+++ b/crates/pick/src/group.rs
@@ -10,7 +10,7 @@
 use crate::choice::{Candidate, Choice};
 use crate::server::{Ejection, Running, Server};
 use crate::settings::FleetSettings;
-use crate::work::{NoSlot, Outcome, Work};
+use crate::work::{Fingerprint, NoSlot, Outcome, Work};
 
 /// Latency assumed before the first sample, seconds.
 const UNKNOWN_LATENCY_S: f64 = 0.005;
@@ -87,6 +87,12 @@
         Ok(self.take(now, at, work, id))
     }
 
+    /// Whether work of a class without history would get a slot.
+    pub fn has_room(&self, now: Instant, settings: &FleetSettings, class: Class) -> bool {
+        let work = Work::new(class, Fingerprint(0));
+        self.probe(now, &work).is_some() || !self.candidates(now, settings, &work).is_empty()
+    }
+
     /// Counts an outcome for or against a server, after its slot was given back.
     pub fn judge(
         &mut self,
--- a/crates/world/src/lock.rs
+++ b/crates/world/src/lock.rs
@@ -30,6 +30,10 @@
     Fleet,
     /// Connections to backend servers.
     Connections,
+    /// Budgets for hedges and retries.
+    Budgets,
+    /// Requests that crashed backend servers.
+    Poison,
     /// Counters and histograms.
     Stats,
 }
