--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod process;
 pub mod relay;
 pub mod server;
+pub mod site;
