--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -11,4 +11,6 @@
 
 pub use fault::{Fault, Faults};
 pub use lists::{parse_customers, parse_lists, parse_plans};
-pub use settings::{Addrs, ControlAddrs, LogSettings, ReplicaAddr, Role, Settings, parse_settings};
+pub use settings::{
+    Addrs, ControlAddrs, LogSettings, PolicySettings, ReplicaAddr, Role, Settings, parse_settings,
+};
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use admit::{CreditSettings, QueueSettings};
+use pick::{BudgetSettings, FleetSettings, HedgeSettings, PoisonSettings, Policy, TrustSettings};
 use serde::{Deserialize, Serialize};
 use world::{KeyDigest, Link, MachineName, Place, Region, Secret, Zones};
 
@@ -98,10 +100,33 @@
     pub lease_ms: u64,
     /// Longest time that a shutdown waits for work in flight, milliseconds.
     pub shutdown_ms: u64,
+    /// How work is limited, queued and handed out.
+    pub policy: PolicySettings,
     /// What is logged.
     pub log: LogSettings,
 }
 
+/// Settings of the decisions; each has a baseline to measure it beside.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PolicySettings {
+    /// How a backend server is chosen among those with a free slot.
+    pub choice: Policy,
+    /// The table of backend servers.
+    pub fleet: FleetSettings,
+    /// Second attempts for late answers.
+    pub hedge: HedgeSettings,
+    /// Further attempts after failures.
+    pub retry: BudgetSettings,
+    /// Trust in pooled connections.
+    pub trust: TrustSettings,
+    /// Requests that crash backend servers.
+    pub poison: PoisonSettings,
+    /// Work that waits for a slot.
+    pub queue: QueueSettings,
+    /// Credits between entry VMs.
+    pub credits: CreditSettings,
+}
+
 /// Reads and checks a settings file.
 ///
 /// # Errors
@@ -127,6 +152,7 @@
     let lookup_ttl_ms = top.bounded("lookup_ttl_ms", 2_000, 100, 600_000);
     let lease_ms = top.bounded("lease_ms", 3_000, 300, 60_000);
     let shutdown_ms = top.bounded("shutdown_ms", 30_000, 100, 3_600_000);
+    let policy = top.may_object("policy", |p| Some(policy(p)));
     let log = top.may_object("log", |l| Some(log_settings(l)));
     if let Some(roles) = &roles {
         check_roles(roles, top);
@@ -149,6 +175,7 @@
         lookup_ttl_ms,
         lease_ms,
         shutdown_ms,
+        policy: policy.unwrap_or_default(),
         log: log.unwrap_or_else(default_log),
     })
 }
@@ -251,6 +278,30 @@
     Zones { regions, links }
 }
 
+fn policy(fields: &mut Fields<'_>) -> PolicySettings {
+    let choice = fields.may(
+        "choice",
+        "\"least_cost\", \"two_choices\" or \"round_robin\"",
+    );
+    let fleet = fields.may("fleet", "settings of the table of backend servers");
+    let hedge = fields.may("hedge", "settings of hedging");
+    let retry = fields.may("retry", "settings of a budget");
+    let trust = fields.may("trust", "settings of trust in connections");
+    let poison = fields.may("poison", "settings for requests that crash servers");
+    let queue = fields.may("queue", "settings of queues");
+    let credits = fields.may("credits", "settings of credits");
+    PolicySettings {
+        choice: choice.unwrap_or_default(),
+        fleet: fleet.unwrap_or_default(),
+        hedge: hedge.unwrap_or_default(),
+        retry: retry.unwrap_or_default(),
+        trust: trust.unwrap_or_default(),
+        poison: poison.unwrap_or_default(),
+        queue: queue.unwrap_or_default(),
+        credits: credits.unwrap_or_default(),
+    }
+}
+
 fn log_settings(fields: &mut Fields<'_>) -> LogSettings {
     let mut log = default_log();
     let level = fields.may("level", "a level: error, warn, info, debug or trace");
--- a/crates/pick/src/fleet.rs
+++ b/crates/pick/src/fleet.rs
@@ -258,6 +258,16 @@
         (count > 0.0).then(|| sum_s / count)
     }
 
+    /// Servers with a live lease, by name.
+    #[must_use]
+    pub fn live(&self, now: Instant) -> Vec<BackendServer> {
+        let servers = self.groups.values().flat_map(|g| &g.servers);
+        let live = servers.filter(|s| now < s.lease_until);
+        let mut rows: Vec<_> = live.map(|s| s.info.clone()).collect();
+        rows.sort_by(|a, b| a.name.cmp(&b.name));
+        rows
+    }
+
     /// Every server with a lease or work, by service and name.
     #[must_use]
     pub fn view(&self, now: Instant) -> Vec<(ServiceName, ServerView)> {
