Bridge the election of a leader

Cause: after the restart of its only control VM a booking heard that the ledger could not be read, for a sole voter waited out an election timeout. Ruled out: a shorter timeout, which frozen processes would trip. Before: 0.6 s to 1.2 s without a leader at each start of a sole voter, and a question to the ledger failed at once while no replica led. After: a sole voter stands for election at once, and entry VMs ask again for up to 3 s while every reachable replica says that it does not lead, which is a refusal that is true, so asking again is safe.

--- a/crates/entry/src/booking/ledger.rs
+++ b/crates/entry/src/booking/ledger.rs
@@ -7,6 +7,7 @@
 
 use once::{LedgerClient, Reply, Request};
 use peers::Links;
+use tokio::time::{Instant, sleep};
 use wire::Body;
 use wire::body::LedgerAsk;
 use world::{Error, Kind, Ran};
@@ -19,6 +20,12 @@
 /// Bound on one question to one replica.
 const ASK_PATIENCE: Duration = Duration::from_secs(1);
 
+/// How long a question is asked again while the replicas elect a leader.
+const ELECTION_PATIENCE: Duration = Duration::from_secs(3);
+
+/// Wait before the replicas are asked again.
+const ELECTION_RETRY: Duration = Duration::from_millis(50);
+
 /// Asks the replica that answered last, then the others.
 #[derive(Clone)]
 pub struct LinkLedger {
@@ -53,13 +60,27 @@
 impl LedgerClient for LinkLedger {
     async fn ask(&self, request: Request) -> Result<Reply, Error> {
         let command = request.to_bytes()?;
+        let deadline = Instant::now() + ELECTION_PATIENCE;
+        loop {
+            match self.ask_all(&command).await {
+                Err(error) if error.kind == Kind::NotLeader && Instant::now() < deadline => {
+                    sleep(ELECTION_RETRY).await;
+                }
+                ended => return ended,
+            }
+        }
+    }
+}
+
+impl LinkLedger {
+    async fn ask_all(&self, command: &[u8]) -> Result<Reply, Error> {
         let first = self.first.load(Ordering::Relaxed);
         // A call that is dropped while it waits leaves the next replica as the first.
         self.first.store(first.wrapping_add(1), Ordering::Relaxed);
         let mut last = Error::new(Kind::Unreachable, "no replica of the ledger is known");
         for turn in 0..self.addrs.len() {
             let at = first.wrapping_add(turn) % self.addrs.len();
-            match self.ask_one(self.addrs[at], &command).await {
+            match self.ask_one(self.addrs[at], command).await {
                 Ok(reply) => {
                     self.first.store(at, Ordering::Relaxed);
                     return Ok(reply);
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -126,6 +126,9 @@
             waiters: Waiters::default(),
         };
         replica.refresh_members();
+        if replica.members.majority(|disk| disk == replica.disk) {
+            replica.election_at = now;
+        }
         Ok(replica)
     }
 
