Wire the decisions into the path of a request

Cause: the thin path took the server with the most room and knew no queue, no limit, no retry. Now: contract, plan limits, queue, slot or credit of another entry VM, attempts with hedges and retries on budgets, poison marks, pooled connections by trust, metrics by customer, service and class. Ruled out: handing work to other VMs without credits (nothing would bound it).

--- a/crates/entry/src/ask.rs
+++ b/crates/entry/src/ask.rs
@@ -70,6 +70,15 @@
     }
 }
 
+impl Ask {
+    /// The key as the caller showed it; empty when it showed none.
+    #[must_use]
+    pub fn key_text(&self) -> &str {
+        let shown = self.headers.get(::desk::KEY_HEADER);
+        shown.and_then(|v| v.to_str().ok()).unwrap_or("")
+    }
+}
+
 fn split_path(path: &str) -> Result<(String, String), Error> {
     let path = path.strip_prefix('/').unwrap_or(path);
     let (service, rest) = match path.find(['/', '?']) {
@@ -86,7 +95,11 @@
     Ok((service.into(), format!("{slash}{rest}")))
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Error> {
+/// A header as text; `None` when it is absent.
+///
+/// # Errors
+/// [`Kind::BadRequest`] when it is no text.
+pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Error> {
     let Some(value) = headers.get(name) else {
         return Ok(None);
     };
--- a/crates/entry/src/booking.rs
+++ b/crates/entry/src/booking.rs
@@ -11,6 +11,7 @@
 use hyper::Response;
 use once::{Job, OperationId, OperationKey, RequestDigest, Settled, Steward, Waits};
 use peers::Links;
+use pick::Work;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 use world::{Contract, Error, Kind};
@@ -64,11 +65,12 @@
         state: &Arc<State>,
         ask: Ask,
         contract: &Contract,
+        work: Work,
         request: &str,
         deadline: Instant,
     ) -> Result<Response<AnswerBody>, Error> {
         let job = job(&ask, contract, deadline)?;
-        let exchange = Exchange::new(Arc::clone(state), ask, request);
+        let exchange = Exchange::new(Arc::clone(state), ask, contract.clone(), work, request);
         let running = Running::new(Arc::clone(self));
         let task = tokio::spawn(running.drive(job, exchange));
         let settled = timeout_at(deadline + REFUSAL_GRACE, task)
--- a/crates/entry/src/booking/settled.rs
+++ b/crates/entry/src/booking/settled.rs
@@ -7,8 +7,8 @@
 use world::{Error, Kind, Ran};
 
 use super::exchange::Whole;
-use crate::answer::RAN_HEADER;
 use crate::body::AnswerBody;
+use crate::headers;
 
 /// Header on an answer that was stored by an earlier request.
 const STORED_HEADER: HeaderName = HeaderName::from_static("x-waxwing-stored");
@@ -23,7 +23,7 @@
         Settled::Stored(answer) => stored(answer)?,
     };
     let ran = HeaderValue::from_static(Ran::Ran.as_str());
-    response.headers_mut().insert(RAN_HEADER, ran);
+    response.headers_mut().insert(headers::RAN, ran);
     Ok(response)
 }
 
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -4,11 +4,12 @@
 use std::sync::{Arc, OnceLock};
 
 use ::desk::{Refusal, SECRET_HEADER, header};
-use dropshot::{ApiDescription, HttpResponseOk, Query, RequestContext, TypedBody, endpoint};
+use dropshot::{ApiDescription, Body, HttpResponseOk, Query, RequestContext, TypedBody, endpoint};
+use hyper::Response;
+use hyper::header::CONTENT_TYPE;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
-use world::unit::ms;
 use world::{BackendServer, EntryVm, Error, Kind, MachineName};
 
 use crate::state::State;
@@ -84,6 +85,7 @@
     api.register(get_lookup).expect("endpoints do not clash");
     api.register(post_announce).expect("endpoints do not clash");
     api.register(get_status).expect("endpoints do not clash");
+    api.register(get_metrics).expect("endpoints do not clash");
     api
 }
 
@@ -128,8 +130,8 @@
     }
     let now = Instant::now();
     let entries = state.members.lock().live(now);
-    let length = ms(state.times.lease_ms);
-    state.leases.lock().announce(now, server, length);
+    let in_force = state.in_force();
+    state.gate.announce(now, &server, &in_force.config);
     let neighbours = entries.iter().filter(|vm| vm.place == state.me.place);
     Ok(HttpResponseOk(Granted {
         lease_ms: state.times.lease_ms,
@@ -148,6 +150,25 @@
         name: state.me.name.clone(),
         config_version: state.version(),
         entries: live,
-        servers: state.leases.lock().live(now),
+        servers: state.gate.fleet().table().lock().live(now),
     }))
 }
+
+/// Gives the metrics in the text format of Prometheus.
+#[endpoint { method = GET, path = "/metrics" }]
+async fn get_metrics(request: RequestContext<Context>) -> Result<Response<Body>, Refusal> {
+    let state = request.context().state()?;
+    let now = Instant::now();
+    let in_force = state.in_force();
+    for service in &in_force.config.lists.services {
+        let fleet = state.gate.fleet().table();
+        let slots = fleet.lock().slots(now, service.name.as_str());
+        let waiting = state.gate.waiting(&service.name);
+        state.metrics.service(&service.name, waiting, slots);
+    }
+    let page = state.metrics.page(in_force.config.version)?;
+    Response::builder()
+        .header(CONTENT_TYPE, prometheus::TEXT_FORMAT)
+        .body(Body::from(page))
+        .map_err(|error| Error::new(Kind::Internal, error.to_string()).into())
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,19 +4,30 @@
 //! taken by the tables in [`state`].
 
 pub mod answer;
+pub mod arrival;
 pub mod ask;
-pub mod back;
+pub mod attempt;
 pub mod body;
 pub mod booking;
+pub mod credits;
+pub mod crossing;
 pub mod desk;
+pub mod flow;
 pub mod front;
-pub mod leases;
+pub mod gate;
+pub mod headers;
 pub mod members;
+pub mod metrics;
 pub mod path;
+pub mod place;
+pub mod pool;
 pub mod pull;
 pub mod serve;
+pub mod slot;
 pub mod start;
 pub mod state;
+pub mod tend;
+pub mod tries;
 
 pub use start::{Entry, start};
 pub use state::State;
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -1,72 +1,123 @@
 //! The path of a request through an entry VM.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
+use pick::{Fingerprint, Work};
 use tokio::time::Instant;
 use world::unit::{as_us, ms};
 use world::{Contract, Error};
 
-use crate::answer::{CONFIG_HEADER, REQUEST_HEADER, refuse};
+use crate::answer::refuse;
+use crate::arrival::Arrival;
 use crate::ask::Ask;
-use crate::back;
-use crate::body::{AnswerBody, Slot};
+use crate::attempt::Answered;
+use crate::body::{AnswerBody, Stream};
 use crate::booking;
+use crate::gate::Admitted;
+use crate::headers;
+use crate::metrics::Labels;
 use crate::state::{InForce, State};
+use crate::tries::Tries;
 
 /// Answers one request.
 pub async fn answer(state: Arc<State>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let id = format!("{:016x}", rand::random::<u64>());
     let started_at = Instant::now();
     let in_force = state.in_force();
-    let mut response = match run(&state, &in_force, request, &id).await {
-        Ok(response) => response,
-        Err(error) => {
-            log::info!(target: "entry", request = id.as_str(), error:% = error; "refused");
-            refuse(&error, &id)
-        }
+    let (id, arrival) = match Arrival::read(&state, request.headers()) {
+        Ok(Some(arrival)) => (arrival.id.clone(), Ok(Some(arrival))),
+        other => (format!("{:016x}", rand::random::<u64>()), other),
     };
-    let headers = response.headers_mut();
-    headers.insert(CONFIG_HEADER, in_force.config.version.into());
-    if let Ok(value) = HeaderValue::from_str(&id) {
-        headers.insert(REQUEST_HEADER, value);
-    }
+    let mut labels = Labels::default();
+    let ran = match arrival {
+        Ok(arrival) => run(&state, &in_force, request, (&id, arrival), &mut labels).await,
+        Err(error) => Err(error),
+    };
+    let mut response = ran.unwrap_or_else(|error| {
+        log::info!(target: "entry", request = id.as_str(), error:% = error; "refused");
+        state.metrics.refused(&labels, error.kind);
+        refuse(&error, &id)
+    });
+    stamp(&mut response, &in_force, &id);
+    let took = started_at.elapsed();
+    state.metrics.answered(&labels, took);
     log::debug!(
         target: "entry",
         request = id.as_str(),
         status = response.status().as_u16(),
-        took_us = as_us(started_at.elapsed());
+        took_us = as_us(took);
         "answered"
     );
     response
 }
 
+fn stamp(response: &mut Response<AnswerBody>, in_force: &InForce, id: &str) {
+    let stamped = response.headers_mut();
+    stamped.insert(headers::CONFIG, in_force.config.version.into());
+    if let Ok(value) = HeaderValue::from_str(id) {
+        stamped.insert(headers::REQUEST, value);
+    }
+}
+
 async fn run(
     state: &Arc<State>,
     in_force: &InForce,
     request: Request<Incoming>,
-    id: &str,
+    (id, arrival): (&str, Option<Arrival>),
+    labels: &mut Labels,
 ) -> Result<Response<AnswerBody>, Error> {
     let ask = Ask::read(request).await?;
     let contract = in_force.book.contract(&ask.key, &ask.service)?;
+    *labels = Labels::of(&contract);
     let deadline = ask.arrived_at + deadline(&ask, &contract);
+    let work = work(state, &ask, &contract)?;
+    if let Some(arrival) = arrival {
+        let answered = arrival.run(state, &ask, &contract, &work, deadline).await?;
+        return Ok(passed_on(answered, None));
+    }
+    let admitted = state.gate.pass(Instant::now(), &contract)?;
     if booking::concerns(&ask, &contract) {
         let bookings = state.bookings()?;
-        return bookings.answer(state, ask, &contract, id, deadline).await;
+        let answer = bookings.answer(state, ask, &contract, work, id, deadline);
+        return answer.await;
     }
-    let server = state
-        .leases
-        .lock()
-        .take(Instant::now(), &ask.service, |s| {
-            !in_force.config.drains_server(&s.name, &s.place)
-        })?;
-    let slot = Slot::new(Arc::clone(state), server.name.clone());
-    back::send(&server, &ask, id, deadline, slot).await
+    let tries = Tries {
+        state,
+        ask: &ask,
+        contract: &contract,
+        id,
+        deadline,
+    };
+    let answered = tries.run(work).await?;
+    Ok(passed_on(answered, Some(admitted)))
+}
+
+fn passed_on(answered: Answered, admitted: Option<Admitted>) -> Response<AnswerBody> {
+    let Answered { head, body, flow } = answered;
+    let stream = Stream::new(body, flow, admitted);
+    Response::from_parts(head, AnswerBody::Stream(Box::new(stream)))
+}
+
+/// The request as the choice of a backend server sees it.
+fn work(state: &State, ask: &Ask, contract: &Contract) -> Result<Work, Error> {
+    let fingerprint = Fingerprint::of(&[
+        contract.customer.as_str().as_bytes(),
+        ask.method.as_str().as_bytes(),
+        ask.service.as_bytes(),
+        ask.rest.as_bytes(),
+        &ask.body,
+    ]);
+    let alone = state.gate.alone(Instant::now(), fingerprint)?;
+    let work = Work::new(contract.service.class, fingerprint)
+        .with_idempotent(contract.service.idempotent || ask.method.is_safe())
+        .with_alone(alone);
+    Ok(work)
 }
 
-fn deadline(ask: &Ask, contract: &Contract) -> std::time::Duration {
+fn deadline(ask: &Ask, contract: &Contract) -> Duration {
     let longest = ms(contract.service.deadline_ms);
     ask.deadline.map_or(longest, |given| given.min(longest))
 }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -9,12 +9,14 @@
 use wire::{Body, Refusal};
 use world::{EntryVm, Error, Kind, MachineName};
 
+use crate::crossing::give;
 use crate::state::State;
 
 impl Serve for State {
-    async fn serve(self: &Arc<Self>, _from: &MachineName, body: Body) -> Option<Body> {
+    async fn serve(self: &Arc<Self>, from: &MachineName, body: Body) -> Option<Body> {
         let answer = match body {
             Body::ConfigAsk(ask) => Ok(self.give(&ask)),
+            Body::CreditAsk(ask) => Ok(Body::CreditGive(give(&self.gate, from, &ask))),
             Body::Members(members) => self.members_heard(&members),
             _ => Err(Error::new(
                 Kind::BadRequest,
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use anyhow::{Context as _, Result};
-use conf::{Addrs, Settings};
+use conf::{Addrs, PolicySettings, Settings};
 use dropshot::HttpServer;
 use peers::{Identity, Links, accept};
 use tokio::net::TcpListener;
@@ -16,10 +16,12 @@
 use world::unit::ms;
 
 use crate::booking::Bookings;
+use crate::crossing::Crossing;
 use crate::desk::{Context, api};
 use crate::front;
 use crate::pull::{pull_config, tell_members};
 use crate::state::{State, Times};
+use crate::tend::tend;
 
 /// A running entry role.
 pub struct Entry {
@@ -51,16 +53,21 @@
         myself(settings, addrs),
         settings.secret.clone(),
         times(settings),
-    ));
+        &policy(settings),
+    )?);
     let _ = desk.app_private().state.set(Arc::clone(&state));
     let identity = Identity::new(settings.name.clone(), settings.secret.clone());
     let links = Arc::new(Links::new(identity.clone(), Arc::clone(&state)));
+    if settings.policy.credits.enabled {
+        state.set_crossing(Crossing::new(Arc::clone(&links)));
+    }
     let replicas = settings.control.iter().map(|c| c.link).collect();
     let bookings = Arc::new(Bookings::new(Arc::clone(&links), replicas));
     state.set_bookings(Arc::clone(&bookings));
     let (leaving, left) = watch::channel(false);
     let sources = settings.control.iter().map(|c| c.link).collect();
     let tasks = vec![
+        tokio::spawn(tend(Arc::clone(&state))),
         tokio::spawn(accept(link_listener, identity, Arc::clone(&state))),
         tokio::spawn(pull_config(Arc::clone(&state), Arc::clone(&links), sources)),
         tokio::spawn(tell_members(
@@ -115,6 +122,13 @@
     }
 }
 
+/// The policy; the length of a lease is set once for all.
+fn policy(settings: &Settings) -> PolicySettings {
+    let mut policy = settings.policy.clone();
+    policy.fleet.lease_ms = settings.lease_ms;
+    policy
+}
+
 fn times(settings: &Settings) -> Times {
     Times {
         lookup_ttl_ms: settings.lookup_ttl_ms,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -2,12 +2,18 @@
 
 use std::sync::{Arc, OnceLock};
 
+use conf::PolicySettings;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use world::{Book, Config, EntryVm, Error, Kind, Rank, Ranked, Secret};
 
 use crate::booking::Bookings;
-use crate::leases::Leases;
+use crate::crossing::{Crossing, FORWARD};
+use crate::gate::Gate;
 use crate::members::Members;
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+use crate::tries::Budgets;
 
 /// A configuration and the book made from it.
 #[derive(Debug, Default)]
@@ -39,8 +45,17 @@
     pub times: Times,
     /// Entry VMs known.
     pub members: Ranked<Members>,
-    /// Backend servers of the failure domain.
-    pub leases: Ranked<Leases>,
+    /// Plan limits, queues, credits and backend servers.
+    pub gate: Arc<Gate>,
+    /// Connections to backend servers and other entry VMs.
+    pub pool: Pool,
+    /// Budgets for hedges and retries.
+    pub budgets: Budgets,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Proof of the secret for work that is handed to another entry VM, as hex.
+    pub forward_proof: String,
+    crossing: OnceLock<Crossing>,
     bookings: OnceLock<Arc<Bookings>>,
     in_force: Ranked<Arc<InForce>>,
     version: watch::Sender<u64>,
@@ -48,18 +63,43 @@
 
 impl State {
     /// Empty tables for this machine.
-    #[must_use]
-    pub fn new(me: EntryVm, secret: Secret, times: Times) -> Self {
-        Self {
+    ///
+    /// # Errors
+    /// [`Kind::Internal`] when the metrics clash.
+    pub fn new(
+        me: EntryVm,
+        secret: Secret,
+        times: Times,
+        policy: &PolicySettings,
+    ) -> Result<Self, Error> {
+        let region = me.place.region.clone();
+        let gate = Gate::new(Instant::now(), policy.clone(), region, rand::random());
+        Ok(Self {
             members: Ranked::new(Rank::Members, Members::new(me.clone())),
-            leases: Ranked::new(Rank::Fleet, Leases::default()),
+            gate: Arc::new(gate),
+            pool: Pool::new(policy.trust),
+            budgets: Budgets::new(policy.hedge, policy.retry),
+            metrics: Metrics::new()?,
+            forward_proof: secret.proof(FORWARD).to_hex(),
+            crossing: OnceLock::new(),
             bookings: OnceLock::new(),
             in_force: Ranked::new(Rank::Config, Arc::default()),
             version: watch::Sender::new(0),
             me,
             secret,
             times,
-        }
+        })
+    }
+
+    /// Sets the way to other entry VMs, once, at the start.
+    pub fn set_crossing(&self, crossing: Crossing) {
+        let _ = self.crossing.set(crossing);
+    }
+
+    /// The way to other entry VMs; `None` when credits are off.
+    #[must_use]
+    pub fn crossing(&self) -> Option<&Crossing> {
+        self.crossing.get()
     }
 
     /// Sets what runs non-idempotent operations, once, at the start.
@@ -96,6 +136,7 @@
         if version <= in_force.config.version {
             return false;
         }
+        self.gate.apply_drains(&config);
         *in_force = Arc::new(InForce { config, book });
         self.version.send_replace(version);
         true
