--- a/crates/world/src/key.rs
+++ b/crates/world/src/key.rs
@@ -33,7 +33,29 @@
     /// Whether two digests are equal, in a time that does not tell where they differ.
     #[must_use]
     pub fn matches(&self, other: &Self) -> bool {
-        self.0.ct_eq(&other.0).into()
+        self.matches_bytes(&other.0)
+    }
+
+    /// Whether this is the digest with these bytes, in constant time.
+    #[must_use]
+    pub fn matches_bytes(&self, bytes: &[u8]) -> bool {
+        self.0[..].ct_eq(bytes).into()
+    }
+
+    /// The digest as hex.
+    #[must_use]
+    pub fn to_hex(&self) -> String {
+        hex::encode(self.0)
+    }
+}
+
+impl schemars::JsonSchema for KeyDigest {
+    fn schema_name() -> String {
+        "KeyDigest".into()
+    }
+
+    fn json_schema(generator: &mut schemars::r#gen::SchemaGenerator) -> schemars::schema::Schema {
+        String::json_schema(generator)
     }
 }
 
@@ -64,6 +86,16 @@
         hash.update(self.0.as_bytes());
         KeyDigest(hash.finalize().into())
     }
+
+    /// Whether `shown_hex` is this secret's proof for `purpose`.
+    #[must_use]
+    pub fn proves(&self, purpose: &str, shown_hex: &str) -> bool {
+        let mut shown = [0; DIGEST_BYTES];
+        if hex::decode_to_slice(shown_hex, &mut shown).is_err() {
+            return false;
+        }
+        self.proof(purpose).matches_bytes(&shown)
+    }
 }
 
 impl fmt::Debug for Secret {
