--- /dev/null
+++ b/crates/admit/tests/limit.rs
@@ -0,0 +1,165 @@
+//! Plan limits over several entry VMs, and link budgets.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use admit::{Demand, Limits, LinkBudget, LinkSettings, ShareSettings, Shares, Traffic};
+use tokio::time::Instant;
+use world::{Class, Contract, CustomerName, Link, MachineName, Service, Use};
+
+fn contract(customer: &str, rate_per_s: u32, burst: u32, in_flight: u32) -> Contract {
+    let service = "terminy".parse::<world::ServiceName>().expect("name");
+    Contract {
+        customer: CustomerName::new(customer).expect("name"),
+        priority: 1,
+        usage: Arc::new(Use {
+            service: service.clone(),
+            rate_per_s,
+            burst,
+            in_flight,
+        }),
+        service: Arc::new(Service {
+            name: service,
+            class: Class::Short,
+            idempotent: true,
+            deadline_ms: 1_000,
+        }),
+        home: None,
+    }
+}
+
+#[test]
+fn a_customer_over_its_plan_harms_no_other() {
+    let start = Instant::now();
+    let mut limits = Limits::new(1.0);
+    let greedy = contract("greedy", 10, 5, 100);
+    let modest = contract("modest", 10, 5, 100);
+    let mut admitted = [0, 0];
+    let mut refused = None;
+    for step in 0..1_000 {
+        let now = start + Duration::from_millis(step * 10);
+        for _ in 0..10 {
+            match limits.admit(now, &greedy) {
+                Ok(pass) => {
+                    admitted[0] += 1;
+                    limits.release(pass);
+                }
+                Err(error) => refused = Some(error),
+            }
+        }
+        if step % 10 == 0 {
+            let pass = limits.admit(now, &modest).expect("within its plan");
+            admitted[1] += 1;
+            limits.release(pass);
+        }
+    }
+    insta::assert_debug_snapshot!((admitted, refused));
+}
+
+#[test]
+fn requests_in_flight_are_bounded_and_given_back() {
+    let now = Instant::now();
+    let mut limits = Limits::new(1.0);
+    let contract = contract("a", 1_000, 1_000, 2);
+    let first = limits.admit(now, &contract).expect("first");
+    let _second = limits.admit(now, &contract).expect("second");
+    let third = limits.admit(now, &contract).map(|_| ());
+    limits.release(first);
+    assert!(third.is_err());
+    assert_eq!(limits.in_flight("a", "terminy"), 1);
+    assert!(limits.admit(now, &contract).is_ok());
+}
+
+fn vm(number: usize) -> MachineName {
+    MachineName::new(&format!("vm{number}")).expect("name")
+}
+
+/// Sums of the shares of four VMs, second by second; `cut` splits them in halves.
+fn sums(demand: impl Fn(u64, usize) -> f64, cut: std::ops::Range<u64>) -> Vec<f64> {
+    let start = Instant::now();
+    let mut vms: Vec<_> = (0..4)
+        .map(|_| Shares::new(start, ShareSettings::default(), 4))
+        .collect();
+    let mut sums = Vec::new();
+    for second in 0..200 {
+        let now = start + Duration::from_secs(second);
+        for from in 0..4 {
+            let rate_per_s = demand(second, from);
+            let report = vms[from].report_own(now, Demand { rate_per_s });
+            for (to, shares) in vms.iter_mut().enumerate() {
+                let crosses = (from < 2) != (to < 2);
+                if to != from && !(crosses && cut.contains(&second)) {
+                    shares.report(now + Duration::from_millis(10), &vm(from), report);
+                }
+            }
+        }
+        let later = now + Duration::from_millis(500);
+        for shares in &mut vms {
+            shares.expire(later);
+        }
+        sums.push(vms.iter().map(|s| s.share(later)).sum());
+    }
+    sums
+}
+
+fn highest(sums: &[f64]) -> f64 {
+    sums.iter().copied().fold(0.0, f64::max)
+}
+
+#[test]
+fn shares_follow_demand_and_never_sum_above_the_whole() {
+    let moving = |second: u64, vm: usize| {
+        let busy = usize::try_from(second / 20).expect("small") % 4;
+        if vm == busy { 100.0 } else { 1.0 }
+    };
+    let sums = sums(moving, 0..0);
+    assert!(highest(&sums) <= 1.000_001, "sum {}", highest(&sums));
+    assert!(sums[15] > 0.99, "settled sum {}", sums[15]);
+}
+
+#[test]
+fn overshoot_during_a_cut_is_bounded() {
+    let rising = |second: u64, vm: usize| {
+        if second > 60 {
+            100.0
+        } else {
+            f64::from(u32::try_from(vm).expect("small")) + 1.0
+        }
+    };
+    let sums = sums(rising, 50..150);
+    let held = highest(&sums[..109]);
+    let cut = highest(&sums[112..150]);
+    let healed = highest(&sums[154..]);
+    let row = format!("hold time {held:.2}, long cut {cut:.2}, healed {healed:.2}");
+    insta::assert_snapshot!(row);
+}
+
+#[test]
+fn bulk_is_paced_and_all_vms_stay_under_the_link() {
+    let start = Instant::now();
+    let link = Link {
+        from: "a".parse().expect("name"),
+        to: "b".parse().expect("name"),
+        rate_bits_per_s: 8_000_000,
+        latency_us: 0,
+    };
+    let mut vms: Vec<_> = (0..4)
+        .map(|_| LinkBudget::new(start, LinkSettings::default(), &link, 4))
+        .collect();
+    let mut sent = [0_u64; 2];
+    for step in 0..10_000 {
+        let now = start + Duration::from_millis(step);
+        for vm in &mut vms {
+            while vm.take(now, Traffic::Bulk, 1_500).is_ok() {
+                sent[0] += 1_500;
+            }
+            if step % 100 == 0 && vm.take(now, Traffic::Interactive, 1_000).is_ok() {
+                sent[1] += 1_000;
+            }
+        }
+    }
+    let [bulk, interactive] = sent.map(|bytes| bytes / 10_000);
+    insta::assert_snapshot!(format!(
+        "link 1000 kB/s: bulk {bulk} kB/s, interactive {interactive} of 40 kB/s"
+    ));
+}
