Weigh other VMs' demand by their last report

A VM applies its own falls at once, so its last report is never below what it counts for itself: the history of others was of no use. Before: a queue of reports for each VM; after: one.

--- a/crates/admit/src/share.rs
+++ b/crates/admit/src/share.rs
@@ -1,10 +1,10 @@
 //! Shares of a plan's limit among the entry VMs, by demand.
 //!
 //! Every VM reports the demand it sees. A VM weighs its own demand by the
-//! least, and the others' by the most, that was in force within the settle
-//! time. While reports arrive within that time the shares never sum to more
-//! than the whole: whatever a VM counts for itself, every other VM counts for
-//! it at least.
+//! least that it reported within the settle time, and the others' by their
+//! last report. While reports arrive within that time the shares never sum to
+//! more than the whole: whatever a VM counts for itself, every other VM counts
+//! for it at least.
 //!
 //! A VM that falls silent keeps its last demand for the hold time, and its
 //! peers' own demand can't rise meanwhile, so a cut of up to the hold time
@@ -49,41 +49,50 @@
     pub rate_per_s: f64,
 }
 
-/// Demands of one VM that were in force within the settle time.
+/// Our own reports that were in force within the settle time.
 #[derive(Clone, Debug, Default)]
-struct History {
-    demands: VecDeque<(Instant, f64)>,
+struct Reports {
+    sent: VecDeque<(Instant, f64)>,
 }
 
-impl History {
+impl Reports {
     fn push(&mut self, now: Instant, rate_per_s: f64, settle_ms: u64) {
-        self.demands.push_back((now, rate_per_s));
+        self.sent.push_back((now, rate_per_s));
         let settled = |d: &(Instant, f64)| d.0 + ms(settle_ms) <= now;
-        while self.demands.get(1).is_some_and(settled) {
-            self.demands.pop_front();
+        while self.sent.get(1).is_some_and(settled) {
+            self.sent.pop_front();
         }
     }
 
-    fn in_force(&self, now: Instant, settle_ms: u64) -> impl Iterator<Item = f64> + '_ {
-        let ended = move |next: &(Instant, f64)| next.0 + ms(settle_ms) <= now;
-        let rows = self.demands.iter().enumerate();
-        rows.filter(move |(at, _)| !self.demands.get(at + 1).is_some_and(ended))
-            .map(|(_, (_, rate_per_s))| *rate_per_s)
+    fn last(&self) -> f64 {
+        self.sent.back().map_or(0.0, |d| d.1)
     }
 
-    fn heard_at(&self) -> Option<Instant> {
-        self.demands.back().map(|(at, _)| *at)
+    fn least(&self, now: Instant, settle_ms: u64) -> f64 {
+        let ended = |next: &(Instant, f64)| next.0 + ms(settle_ms) <= now;
+        let sent = self.sent.iter().enumerate();
+        sent.filter(|(at, _)| !self.sent.get(at + 1).is_some_and(ended))
+            .map(|(_, (_, rate_per_s))| *rate_per_s)
+            .reduce(f64::min)
+            .unwrap_or(0.0)
     }
 }
 
+/// The last report of another VM.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: Instant,
+    rate_per_s: f64,
+}
+
 /// Demand of each entry VM for one customer and service, as one VM sees it.
 #[derive(Clone, Debug)]
 pub struct Shares {
     settings: ShareSettings,
     started_at: Instant,
     vm_count: u32,
-    own: History,
-    others: BTreeMap<MachineName, History>,
+    own: Reports,
+    others: BTreeMap<MachineName, Heard>,
 }
 
 impl Shares {
@@ -94,7 +103,7 @@
             settings,
             started_at: now,
             vm_count: vm_count.max(1),
-            own: History::default(),
+            own: Reports::default(),
             others: BTreeMap::new(),
         }
     }
@@ -103,9 +112,8 @@
     ///
     /// The report can't rise while a peer is silent.
     pub fn report_own(&mut self, now: Instant, seen: Demand) -> Demand {
-        let last = self.own.demands.back().map_or(0.0, |d| d.1);
         let rate_per_s = if self.has_silent_peer(now) {
-            seen.rate_per_s.min(last)
+            seen.rate_per_s.min(self.own.last())
         } else {
             seen.rate_per_s
         };
@@ -115,15 +123,17 @@
 
     /// Takes in another VM's report.
     pub fn report(&mut self, now: Instant, vm: &MachineName, demand: Demand) {
-        let history = self.others.entry(vm.clone()).or_default();
-        history.push(now, demand.rate_per_s, self.settings.settle_ms);
+        let heard = Heard {
+            at: now,
+            rate_per_s: demand.rate_per_s,
+        };
+        self.others.insert(vm.clone(), heard);
     }
 
     /// Forgets VMs that have been silent for the hold time.
     pub fn expire(&mut self, now: Instant) {
         let hold = ms(self.settings.hold_ms);
-        self.others
-            .retain(|_, h| h.heard_at().is_some_and(|at| now < at + hold));
+        self.others.retain(|_, heard| now < heard.at + hold);
     }
 
     /// Our share of the limit now, from 0 to 1.
@@ -134,19 +144,14 @@
             return 1.0 / f64::from(self.vm_count);
         }
         let idle_per_s = self.settings.idle_per_s;
-        let own = self.own.in_force(now, settle_ms).reduce(f64::min);
-        let own = own.unwrap_or(0.0) + idle_per_s;
-        let others: f64 = self
-            .others
-            .values()
-            .map(|h| h.in_force(now, settle_ms).fold(0.0, f64::max) + idle_per_s)
-            .sum();
+        let own = self.own.least(now, settle_ms) + idle_per_s;
+        let others = self.others.values().map(|h| h.rate_per_s + idle_per_s);
+        let others: f64 = others.sum();
         own / (own + others)
     }
 
     fn has_silent_peer(&self, now: Instant) -> bool {
         let settle = ms(self.settings.settle_ms);
-        let silent = |h: &History| h.heard_at().is_none_or(|at| at + settle < now);
-        self.others.values().any(silent)
+        self.others.values().any(|heard| heard.at + settle < now)
     }
 }
--- a/crates/admit/tests/limit.rs
+++ b/crates/admit/tests/limit.rs
@@ -84,9 +84,9 @@
     let mut late = Vec::new();
     for second in 0..200 {
         let now = start + Duration::from_secs(second);
-        for from in 0..4 {
+        for (from, shares) in vms.iter_mut().enumerate() {
             let rate_per_s = demand(second, from);
-            let report = vms[from].report_own(now, Demand { rate_per_s });
+            let report = shares.report_own(now, Demand { rate_per_s });
             for to in 0..4 {
                 let crosses = (from < 2) != (to < 2);
                 if to != from && !(crosses && cut.contains(&second)) {
