Test shares while every VM's demand rises at once

Cause: with a rise that took effect at once the shares' tests still passed, as only one VM's demand rose at a time. Now all rise together as well.

--- a/crates/admit/tests/limit.rs
+++ b/crates/admit/tests/limit.rs
@@ -118,9 +118,11 @@
         let busy = usize::try_from(second / 20).expect("small") % 4;
         if vm == busy { 100.0 } else { 1.0 }
     };
-    let sums = sums(moving, 0..0);
-    assert!(highest(&sums) <= 1.000_001, "sum {}", highest(&sums));
-    assert!(sums[15] > 0.99, "settled sum {}", sums[15]);
+    let together = |second: u64, _| if second % 40 < 20 { 1.0 } else { 100.0 };
+    for sums in [sums(moving, 0..0), sums(together, 0..0)] {
+        assert!(highest(&sums) <= 1.000_001, "sum {}", highest(&sums));
+        assert!(sums[15] > 0.99, "settled sum {}", sums[15]);
+    }
 }
 
 #[test]
