Keep the place of work put back, and bound the wait on a reused connection

Cause: a piece that found no slot after it was popped went to the end of its customer's line. A silent connection kept idempotent work until its deadline, with no time left for another attempt. Before: the end of the line, no bound; after: the front again, and a bound of 0.5 s or 10 typical latencies that the request path can ask for. Ruled out: a fixed bound, as typical latencies of the services differ by a hundred times.

--- a/crates/admit/src/lane.rs
+++ b/crates/admit/src/lane.rs
@@ -41,6 +41,15 @@
         self.work.insert(customer, VecDeque::from([waiting]));
     }
 
+    /// Puts a piece back that was popped last; it is the next again.
+    pub fn push_front(&mut self, waiting: Waiting<T>) {
+        self.count += 1;
+        let customer = waiting.customer.clone();
+        self.turns.retain(|c| *c != customer);
+        self.turns.push_front(customer.clone());
+        self.work.entry(customer).or_default().push_front(waiting);
+    }
+
     /// The next customer's oldest work, or its newest when the oldest came before `stale`.
     pub fn pop(&mut self, stale: Option<Instant>) -> Option<Waiting<T>> {
         let customer = self.turns.pop_front()?;
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -123,9 +123,15 @@
         popped
     }
 
-    /// Puts a piece back that found no slot after all.
+    /// Puts a piece back that found no slot after all; it keeps its place.
     pub fn push_back(&mut self, waiting: Waiting<T>) {
-        self.add(waiting);
+        self.length += 1;
+        if self.settings.discipline == Discipline::Fifo {
+            self.fifo.push_front(waiting);
+            return;
+        }
+        let lane = self.lane(waiting.class, waiting.priority);
+        lane.push_front(waiting);
     }
 
     /// Pieces whose deadline has passed; they leave.
@@ -156,11 +162,16 @@
             self.fifo.push_back(waiting);
             return;
         }
-        let lanes = match waiting.class {
+        let lane = self.lane(waiting.class, waiting.priority);
+        lane.push(waiting);
+    }
+
+    fn lane(&mut self, class: Class, priority: u8) -> &mut Lane<T> {
+        let lanes = match class {
             Class::Short => &mut self.short,
             Class::Long => &mut self.long,
         };
-        lanes.entry(waiting.priority).or_default().push(waiting);
+        lanes.entry(priority).or_default()
     }
 
     fn pop_fair(&mut self, now: Instant, fits: impl Fn(Class) -> bool) -> Option<Waiting<T>> {
--- a/crates/admit/tests/queue.rs
+++ b/crates/admit/tests/queue.rs
@@ -109,6 +109,25 @@
     assert_eq!((next, left, queue.len()), (Some(3), vec![0, 1, 2], 0));
 }
 
+#[test]
+fn a_piece_that_is_put_back_keeps_its_place() {
+    let now = Instant::now();
+    for discipline in [Discipline::Fair, Discipline::Fifo] {
+        let mut queue = Queue::new(settings(discipline));
+        for (number, customer) in (0..).zip(["a", "b", "a", "b"]) {
+            queue.push(waiting(now, customer, 1, Class::Short, number));
+        }
+        let first = queue.pop(now, |_| true).expect("first");
+        let second = queue.pop(now, |_| true).expect("second");
+        queue.push_back(second);
+        queue.push_back(first);
+        let order: Vec<_> = std::iter::from_fn(|| queue.pop(now, |_| true))
+            .map(|w| w.payload)
+            .collect();
+        assert_eq!(order, [0, 1, 2, 3], "{discipline:?}");
+    }
+}
+
 proptest! {
     #[test]
     fn every_piece_leaves_once(
--- a/crates/pick/src/trust.rs
+++ b/crates/pick/src/trust.rs
@@ -1,6 +1,7 @@
 //! Trust in pooled connections, which can go silent for good.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -10,13 +11,17 @@
 use crate::work::Work;
 
 /// Settings of [`Trust`].
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct TrustSettings {
     /// Time after its last byte for which a connection is trusted, milliseconds.
     pub idle_ms: u64,
     /// The same for work that may run only once, milliseconds.
     pub idle_once_ms: u64,
+    /// Least time without a first byte after which a connection counts as silent, milliseconds.
+    pub silent_min_ms: u64,
+    /// The same time, in typical latencies.
+    pub silent_factor: f64,
 }
 
 impl Default for TrustSettings {
@@ -24,6 +29,8 @@
         Self {
             idle_ms: 2_000,
             idle_once_ms: 100,
+            silent_min_ms: 500,
+            silent_factor: 10.0,
         }
     }
 }
@@ -71,6 +78,14 @@
         now < age.last_byte_at + ms(idle_ms) && !self.is_suspect(server, age)
     }
 
+    /// Time for which a reused connection may keep a request without a first
+    /// byte; idempotent work is then sent again over a new connection.
+    #[must_use]
+    pub fn patience(&self, typical: Duration) -> Duration {
+        let bound = typical.mul_f64(self.settings.silent_factor);
+        bound.max(ms(self.settings.silent_min_ms))
+    }
+
     /// Whether a sibling went silent after this connection's last byte.
     #[must_use]
     pub fn is_suspect(&self, server: &ServerName, age: ConnectionAge) -> bool {
--- a/crates/pick/tests/trust.rs
+++ b/crates/pick/tests/trust.rs
@@ -44,6 +44,13 @@
     insta::assert_snapshot!(rows.join("\n"));
 }
 
+#[test]
+fn patience_with_a_reused_connection_follows_the_latency() {
+    let trust = Trust::new(TrustSettings::default());
+    let bounds = [0, 10, 200].map(|typical| trust.patience(Duration::from_millis(typical)));
+    assert_eq!(bounds, [500, 500, 2_000].map(Duration::from_millis));
+}
+
 #[test]
 fn hedges_come_after_a_learned_delay_on_a_budget() {
     let mut hedge = Hedge::new(HedgeSettings {
