--- a/crates/once/src/answer.rs
+++ b/crates/once/src/answer.rs
@@ -1,8 +1,7 @@
 //! Answers as the ledger keeps them.
 
 use serde::{Deserialize, Serialize};
-use serde_with::base64::Base64;
-use serde_with::serde_as;
+use serde_with::{Bytes, serde_as};
 
 /// One header of a stored answer.
 #[serde_as]
@@ -11,7 +10,7 @@
     /// Name in lower case.
     pub name: String,
     /// Value, which need not be text.
-    #[serde_as(as = "Base64")]
+    #[serde_as(as = "Bytes")]
     pub value: Vec<u8>,
 }
 
@@ -24,7 +23,7 @@
     /// Headers that a resend gets as well.
     pub headers: Vec<Header>,
     /// Whole body.
-    #[serde_as(as = "Base64")]
+    #[serde_as(as = "Bytes")]
     pub body: Vec<u8>,
 }
 
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -13,7 +13,6 @@
 
 /// How far an operation has come.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
 enum Phase {
     /// An attempt holds the right; unknown once ledger time has passed `until_ms`.
     Begun { until_ms: u64 },
--- a/crates/once/src/limits.rs
+++ b/crates/once/src/limits.rs
@@ -36,10 +36,10 @@
         Self {
             retention_ms: 24 * HOUR_MS,
             spent_keep_ms: 30 * DAY_MS,
-            spent_max: 1_000_000,
-            operations_max: 50_000,
+            spent_max: 500_000,
+            operations_max: 40_000,
             answer_max_bytes: ANSWER_MAX_BYTES,
-            answers_max_bytes: 24 * 1024 * 1024,
+            answers_max_bytes: 16 * 1024 * 1024,
             abandoned_max: 20_000,
             begin_stale_ms: 10_000,
             run_max_ms: HOUR_MS,
--- a/crates/once/src/operation.rs
+++ b/crates/once/src/operation.rs
@@ -4,8 +4,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use serde_with::hex::Hex;
-use serde_with::serde_as;
+use serde_with::{Bytes, serde_as};
 use sha2::{Digest, Sha256};
 use world::{CustomerName, Error, Kind};
 
@@ -88,7 +87,7 @@
 #[serde_as]
 #[derive(Clone, Copy, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(transparent)]
-pub struct RequestDigest(#[serde_as(as = "Hex")] [u8; 32]);
+pub struct RequestDigest(#[serde_as(as = "Bytes")] [u8; 32]);
 
 impl RequestDigest {
     /// Digest of one request; `target` is the service with path and query.
@@ -114,7 +113,7 @@
 #[serde_as]
 #[derive(Clone, Copy, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
-pub struct AttemptId(#[serde_as(as = "Hex")] [u8; ATTEMPT_BYTES]);
+pub struct AttemptId(#[serde_as(as = "Bytes")] [u8; ATTEMPT_BYTES]);
 
 impl AttemptId {
     /// A fresh id, random so that no restart repeats one.
--- a/crates/once/src/request.rs
+++ b/crates/once/src/request.rs
@@ -9,7 +9,6 @@
 
 /// A question to the ledger. All but `Look` change it and are replicated.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
 pub enum Request {
     /// How an operation stands.
     Look {
@@ -77,7 +76,6 @@
 
 /// What the ledger replies.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
 pub enum Reply {
     /// The key is new, or its last attempt did not run.
     Free {
@@ -114,7 +112,7 @@
     Refused,
 }
 
-/// Gives a type the ledger's own encoding, JSON.
+/// Gives a type the ledger's own encoding, postcard.
 macro_rules! encoded {
     ($($kind:ident: $what:literal;)+) => {$(
         impl $kind {
@@ -123,7 +121,7 @@
             /// # Errors
             /// [`Kind::Internal`] when it can't be encoded.
             pub fn to_bytes(&self) -> Result<Vec<u8>, Error> {
-                serde_json::to_vec(self)
+                postcard::to_stdvec(self)
                     .map_err(|e| Error::new(Kind::Internal, format!("encode {}: {e}", $what)))
             }
 
@@ -132,7 +130,7 @@
             /// # Errors
             /// [`Kind::Damaged`] when the bytes hold none.
             pub fn from_bytes(bytes: &[u8]) -> Result<Self, Error> {
-                serde_json::from_slice(bytes)
+                postcard::from_bytes(bytes)
                     .map_err(|e| Error::new(Kind::Damaged, format!("decode {}: {e}", $what)))
             }
         }
