Add rig measure and callers of several client blocks

Ruled out: a script around waxwingctl load; it can't slow backend servers or read their slots. Entry VMs picked at random by callers: that is the look-up's decision.

Before: by hand.

--- a/crates/rig/src/cmd/mod.rs
+++ b/crates/rig/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! Subcommands of `rig`, one file each.
 
 mod backend;
+mod measure;
 mod relay;
 mod site;
 
@@ -19,6 +20,7 @@
 
 Commands:
   backend  Run a stand-in backend server
+  measure  Run scenarios on a site and print the measures
   relay    Run a TCP relay with a delay
   site     Start a small site, send requests of each class, print the result
 
@@ -50,6 +52,7 @@
     };
     match command {
         Value(name) if name == "backend" => backend::run(args).await,
+        Value(name) if name == "measure" => measure::run(args).await,
         Value(name) if name == "relay" => relay::run(args).await,
         Value(name) if name == "site" => site::run(args).await,
         Short('h') | Long("help") => {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here ships. The stand-ins meet the system at its interfaces only.
 
 pub mod cmd;
+pub mod measure;
 pub mod process;
 pub mod relay;
 pub mod server;
--- /dev/null
+++ b/crates/rig/src/measure/deployment.rs
@@ -0,0 +1,186 @@
+//! The two deployments of the brief, each as one region with two failure
+//! domains at about its full number of backend servers.
+
+use std::str::FromStr;
+
+use waxwingctl::load::Stream;
+use world::Class;
+
+use crate::server::Behaviour;
+use crate::site::{Fleet, Plan, RegionPlan, keys, service};
+
+/// Milliseconds in a second.
+const MS_PER_S: u64 = 1_000;
+
+/// Mean service time of short work and of operations, milliseconds.
+const MEAN_MS: u64 = 100;
+
+/// Part of the mean that every request takes, milliseconds.
+const BASE_MS: u64 = 70;
+
+/// A deployment.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Deployment {
+    /// Slot checks, bookings and manuals.
+    Brana,
+    /// Quotes, orders and print-ready files.
+    Tolkeleht,
+}
+
+/// Sizes of one service.
+struct Sizes {
+    name: &'static str,
+    per_domain: usize,
+    slots: u32,
+    connections: u32,
+    deadline_ms: u64,
+}
+
+/// Short work, operations and downloads of a deployment.
+struct Fleets {
+    region: &'static str,
+    short: Sizes,
+    operations: Sizes,
+    long: Sizes,
+    body_bytes: u64,
+    body_bytes_per_s: u64,
+}
+
+const BRANA: Fleets = Fleets {
+    region: "zapad",
+    short: Sizes::new("terminy", 4, 10, 400, 1_000),
+    operations: Sizes::new("objednavky", 2, 8, 400, 3_000),
+    long: Sizes::new("podklady", 2, 3, 400, 10_000),
+    body_bytes: 1_048_576,
+    body_bytes_per_s: 2_097_152,
+};
+
+const TOLKELEHT: Fleets = Fleets {
+    region: "ee-north",
+    short: Sizes::new("quotes", 4, 3, 350, 1_000),
+    operations: Sizes::new("orders", 2, 3, 350, 3_000),
+    long: Sizes::new("deliver", 2, 3, 350, 10_000),
+    body_bytes: 524_288,
+    body_bytes_per_s: 1_048_576,
+};
+
+impl Sizes {
+    const fn new(
+        name: &'static str,
+        per_domain: usize,
+        slots: u32,
+        connections: u32,
+        deadline_ms: u64,
+    ) -> Self {
+        Self {
+            name,
+            per_domain,
+            slots,
+            connections,
+            deadline_ms,
+        }
+    }
+}
+
+impl FromStr for Deployment {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "brana" => Ok(Self::Brana),
+            "tolkeleht" => Ok(Self::Tolkeleht),
+            _ => Err("expected brana or tolkeleht".into()),
+        }
+    }
+}
+
+impl Deployment {
+    fn fleets(self) -> &'static Fleets {
+        match self {
+            Self::Brana => &BRANA,
+            Self::Tolkeleht => &TOLKELEHT,
+        }
+    }
+
+    /// The site.
+    ///
+    /// # Errors
+    /// Never: the names fit.
+    pub fn plan(self) -> world::Result<Plan> {
+        let fleets = self.fleets();
+        let quick = Behaviour {
+            base_us: BASE_MS * MS_PER_S,
+            spread_us: (MEAN_MS - BASE_MS) * MS_PER_S,
+            ..Behaviour::default()
+        };
+        let download = Behaviour {
+            body_bytes: fleets.body_bytes,
+            body_bytes_per_s: fleets.body_bytes_per_s,
+            ..Behaviour::default()
+        };
+        let fleet = |sizes: &Sizes, class, idempotent, behaviour: &Behaviour| {
+            let service = service(sizes.name, class, idempotent, sizes.deadline_ms)?;
+            let mut fleet = Fleet::new(service, sizes.per_domain, sizes.slots);
+            fleet.connections = sizes.connections;
+            world::Result::Ok(fleet.with_behaviour(behaviour.clone()))
+        };
+        let mut plan = Plan::small()?.with_fleets(vec![
+            fleet(&fleets.short, Class::Short, true, &quick)?,
+            fleet(&fleets.operations, Class::Short, false, &quick)?,
+            fleet(&fleets.long, Class::Long, true, &download)?,
+        ]);
+        plan.regions = vec![RegionPlan::new(fleets.region, &["a", "b"])];
+        Ok(plan)
+    }
+
+    /// Service of the short work.
+    #[must_use]
+    pub fn short(self) -> &'static str {
+        self.fleets().short.name
+    }
+
+    /// Short work at this share of what its backend servers can do.
+    ///
+    /// # Errors
+    /// Never: the names fit.
+    pub fn short_stream(self, share: f64) -> world::Result<Stream> {
+        let sizes = &self.fleets().short;
+        let stream = Stream::new(sizes.name.parse()?, capacity_per_s(sizes) * share, keys());
+        Ok(stream.with_deadline_ms(sizes.deadline_ms))
+    }
+
+    /// Operations at this share of what their backend servers can do.
+    ///
+    /// # Errors
+    /// Never: the names fit.
+    pub fn operations_stream(self, share: f64) -> world::Result<Stream> {
+        let sizes = &self.fleets().operations;
+        let stream = Stream::new(sizes.name.parse()?, capacity_per_s(sizes) * share, keys());
+        Ok(stream.with_operations().with_deadline_ms(sizes.deadline_ms))
+    }
+
+    /// Downloads at this share of what their backend servers can do.
+    ///
+    /// # Errors
+    /// Never: the names fit.
+    pub fn long_stream(self, share: f64) -> world::Result<Stream> {
+        let fleets = self.fleets();
+        let slots = slots(&fleets.long);
+        let each_s = f64::from(u32::try_from(fleets.body_bytes).unwrap_or(u32::MAX))
+            / f64::from(u32::try_from(fleets.body_bytes_per_s).unwrap_or(u32::MAX));
+        let rate_per_s = f64::from(slots) / each_s * share;
+        let stream = Stream::new(fleets.long.name.parse()?, rate_per_s, keys());
+        Ok(stream.with_deadline_ms(fleets.long.deadline_ms))
+    }
+}
+
+/// Slots of a service in the site.
+fn slots(sizes: &Sizes) -> u32 {
+    let domains = 2;
+    u32::try_from(sizes.per_domain).unwrap_or(u32::MAX) * domains * sizes.slots
+}
+
+/// Requests a second that fill every slot of a service.
+fn capacity_per_s(sizes: &Sizes) -> f64 {
+    f64::from(slots(sizes)) * 1_000.0 / f64::from(u32::try_from(MEAN_MS).unwrap_or(u32::MAX))
+}
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -93,13 +93,20 @@
         fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Id of the process.
+    ///
+    /// # Errors
+    /// When it has ended.
+    pub fn pid(&self) -> anyhow::Result<u32> {
+        self.child.id().context("process has ended")
+    }
+
     /// Sends a signal.
     ///
     /// # Errors
     /// When the process has ended.
     pub fn signal(&self, signal: Signal) -> anyhow::Result<()> {
-        let pid = self.child.id().context("process has ended")?;
-        let pid = i32::try_from(pid).context("bad pid")?;
+        let pid = i32::try_from(self.pid()?).context("bad pid")?;
         kill(Pid::from_raw(pid), signal).with_context(|| format!("could not signal {}", self.name))
     }
 
--- a/crates/rig/src/server/serve.rs
+++ b/crates/rig/src/server/serve.rs
@@ -133,7 +133,11 @@
 
 async fn run(state: &State, order: &Order, body: &Bytes, ticket: Ticket) -> Response<Body> {
     let (place, fate) = state.start_run(order);
-    sleep(order.service.unwrap_or(fate.service)).await;
+    let service = order.service.unwrap_or(fate.service);
+    // The timer's least step is a millisecond.
+    if !service.is_zero() {
+        sleep(service).await;
+    }
     state.end_run(place);
     if !fate.late.is_zero() {
         state.count(|s| s.late += 1);
--- a/crates/waxwingctl/src/cmd/load.rs
+++ b/crates/waxwingctl/src/cmd/load.rs
@@ -38,7 +38,8 @@
   --deadline-ms N         Time that a caller waits [1000]
   --seconds N             Length of the run, at most 600 [10]
   --seed N                Seed of arrivals and customers [1]
-  --client IP             Client that look-ups are for [this machine]
+  --client IP             Client that look-ups are for, a caller of its own; may
+                          be given more than once [this machine]
   --profile FILE          The whole run as JSON in place of the options above
   --json                  Print the report as JSON
 
@@ -110,7 +111,7 @@
             "deadline-ms" => self.deadline_ms = options.value(args)?,
             "seconds" => self.profile.duration_s = options.value(args)?,
             "seed" => self.profile.seed = options.value(args)?,
-            "client" => self.profile.client = Some(options.value(args)?),
+            "client" => self.profile.clients.push(options.value(args)?),
             "stream" | "operations" => {
                 let text: String = options.value(args)?;
                 let stream = parse(&text).map_err(|e| options.wrong(e))?;
--- a/crates/waxwingctl/src/load/caller.rs
+++ b/crates/waxwingctl/src/load/caller.rs
@@ -1,6 +1,6 @@
 //! A caller: looks up entry VMs and tries them in order until its deadline.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -34,6 +34,7 @@
 /// One request of a stream.
 #[derive(Clone, Debug)]
 pub struct Order {
+    caller: u32,
     service: ServiceName,
     uri: String,
     tag: String,
@@ -69,9 +70,15 @@
     NotSent,
 }
 
-/// Callers of one run; they share look-ups and connections.
+/// The callers of one run; each has its own look-ups and connections.
 #[derive(Debug)]
-pub struct Caller {
+pub struct Callers {
+    all: Vec<Caller>,
+}
+
+/// One caller.
+#[derive(Debug)]
+struct Caller {
     lookups: Lookups,
     pool: Pool,
 }
@@ -91,6 +98,7 @@
             .operation
             .then(|| format!("{}-{seed}-{number}", stream.service));
         Self {
+            caller: rng.random(),
             service: stream.service.clone(),
             uri: format!("/{}{path}{joint}{tag}", stream.service),
             tag,
@@ -135,18 +143,35 @@
     }
 }
 
-impl Caller {
-    /// Callers of a run.
+impl Callers {
+    /// Callers of a run; each asks the desks in another order.
     #[must_use]
     pub fn new(profile: &Profile) -> Self {
+        let clients = profile.clients.iter().copied().map(Some);
+        let clients = clients.chain(profile.clients.is_empty().then_some(None));
+        let caller = |(at, client): (usize, Option<IpAddr>)| {
+            let mut desks = profile.desks.clone();
+            let turn = at % desks.len().max(1);
+            desks.rotate_left(turn);
+            Caller {
+                lookups: Lookups::new(desks, client),
+                pool: Pool::new(),
+            }
+        };
         Self {
-            lookups: Lookups::new(profile.desks.clone(), profile.client),
-            pool: Pool::new(),
+            all: clients.enumerate().map(caller).collect(),
         }
     }
 
     /// Makes one request, through as many entry VMs as its deadline allows.
     pub async fn call(&self, order: Order) -> Outcome {
+        let at = order.caller as usize % self.all.len();
+        self.all[at].call(order).await
+    }
+}
+
+impl Caller {
+    async fn call(&self, order: Order) -> Outcome {
         let mut last = Outcome::Failed(Failure::Timeout);
         let mut attempts = 0;
         while attempts < ATTEMPTS_MAX && Instant::now() < order.until {
--- a/crates/waxwingctl/src/load/mod.rs
+++ b/crates/waxwingctl/src/load/mod.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep_until};
 
 pub use caller::{Answered, Outcome};
-use caller::{Caller, Order};
+use caller::{Callers, Order};
 pub use profile::{Profile, Stream};
 use tally::Tally;
 pub use tally::{Report, Row, ms_text};
@@ -32,14 +32,14 @@
 
 /// Runs a profile to its end and reports what came of it.
 pub async fn run(profile: &Profile) -> Report {
-    let caller = Arc::new(Caller::new(profile));
+    let callers = Arc::new(Callers::new(profile));
     let start = Instant::now();
     let mut streams = JoinSet::new();
     for (at, stream) in profile.streams.iter().enumerate() {
         let seed = profile.seed.wrapping_add(at as u64);
         let time = profile.duration().min(DURATION_MAX);
         streams.spawn(drive(
-            Arc::clone(&caller),
+            Arc::clone(&callers),
             stream.clone(),
             seed,
             start,
@@ -53,7 +53,7 @@
 
 /// Starts every request of one stream at its time and counts the outcomes.
 async fn drive(
-    caller: Arc<Caller>,
+    callers: Arc<Callers>,
     stream: Stream,
     seed: u64,
     start: Instant,
@@ -77,8 +77,8 @@
             continue;
         }
         let order = Order::new(&stream, seed, number, due, &mut rng);
-        let caller = Arc::clone(&caller);
-        calls.spawn(async move { caller.call(order).await });
+        let callers = Arc::clone(&callers);
+        calls.spawn(async move { callers.call(order).await });
     }
     while let Some(outcome) = calls.join_next().await {
         tally.count(&outcome.unwrap_or(Outcome::NotSent));
--- a/crates/waxwingctl/src/load/profile.rs
+++ b/crates/waxwingctl/src/load/profile.rs
@@ -37,9 +37,10 @@
 pub struct Profile {
     /// Desks of entry VMs that callers ask for look-ups.
     pub desks: Vec<SocketAddr>,
-    /// Address of the client that look-ups are for.
+    /// Addresses of the clients that look-ups are for, each a caller of its
+    /// own; empty: one caller, from this machine.
     #[serde(default)]
-    pub client: Option<IpAddr>,
+    pub clients: Vec<IpAddr>,
     /// Length of the run, seconds.
     pub duration_s: f64,
     /// Seed of arrivals and of the choice of customers.
@@ -92,7 +93,7 @@
     pub fn new(desks: Vec<SocketAddr>, duration_s: f64, seed: u64) -> Self {
         Self {
             desks,
-            client: None,
+            clients: Vec::new(),
             duration_s,
             seed,
             streams: Vec::new(),
@@ -106,6 +107,13 @@
         self
     }
 
+    /// The same with this many callers, each from a client block of its own.
+    #[must_use]
+    pub fn with_clients(mut self, count: u8) -> Self {
+        self.clients = (0..count).map(|n| IpAddr::from([10, n, 0, 1])).collect();
+        self
+    }
+
     /// Length of the run.
     #[must_use]
     pub fn duration(&self) -> Duration {
