--- a/crates/rig/src/cmd/measure.rs
+++ b/crates/rig/src/cmd/measure.rs
@@ -24,7 +24,7 @@
   --scenario NAME        A scenario; may be given more than once [all]
   --variant NAME=JSON    Fields put into the entry VMs' settings; may be given
                          more than once, each runs on a site of its own
-                         [default={}]
+                         [policy={} and plain, with every policy off]
   --seconds N            Length of a scenario [8]
   --seed N               Seed of arrivals [1]
 
@@ -63,7 +63,7 @@
         "--seconds must be above 0 and at most {SECONDS_MAX}"
     );
     if experiment.variants.is_empty() {
-        experiment.variants.push(Variant::new("default"));
+        experiment.variants = vec![Variant::new("policy"), Variant::plain()];
     }
     if experiment.scenarios.is_empty() {
         experiment.scenarios = Scenario::ALL.to_vec();
--- a/crates/rig/src/measure/mod.rs
+++ b/crates/rig/src/measure/mod.rs
@@ -9,7 +9,7 @@
 
 use std::collections::BTreeMap;
 
-use serde_json::Value;
+use serde_json::{Value, json};
 use waxwingctl::load::{Row, ms_text};
 use waxwingctl::table::lay_out;
 
@@ -65,6 +65,21 @@
         }
     }
 
+    /// Every policy replaced by its plain baseline: round robin, one queue in
+    /// order of arrival, no hedges, no credits, no share for long work, no
+    /// ejection.
+    #[must_use]
+    pub fn plain() -> Self {
+        let policy = json!({
+            "choice": "round_robin",
+            "hedge": { "enabled": false },
+            "queue": { "discipline": "fifo" },
+            "credits": { "enabled": false },
+            "fleet": { "long_share": 1.0, "eject_share": 0.0 },
+        });
+        Self::new("plain").with_setting("policy", policy)
+    }
+
     /// The same with this field.
     #[must_use]
     pub fn with_setting(mut self, field: &str, value: Value) -> Self {
