--- a/crates/rig/src/site/mod.rs
+++ b/crates/rig/src/site/mod.rs
@@ -192,19 +192,29 @@
         for place in self.plan.places()? {
             for number in 1..=self.plan.entries_per_domain {
                 let name = format!("entry-{}-{}-{number}", place.region, place.domain);
-                let process = self.start_vm(&name, &place, "entry").await?;
-                self.contacts.seeds.push(process.addr("link")?);
-                self.entries.push(Vm {
-                    front_addr: process.addr("front")?,
-                    desk_addr: process.addr("desk")?,
-                    place: place.clone(),
-                    process,
-                });
+                let vm = self.start_entry(&name, &place).await?;
+                self.contacts.seeds.push(vm.process.addr("link")?);
+                self.entries.push(vm);
             }
         }
         Ok(())
     }
 
+    /// Starts an entry VM that finds the others through those that the site
+    /// started with; it isn't part of the site's own list.
+    ///
+    /// # Errors
+    /// When the process doesn't start.
+    pub async fn start_entry(&self, name: &str, place: &Place) -> anyhow::Result<Vm> {
+        let process = self.start_vm(name, place, "entry").await?;
+        Ok(Vm {
+            front_addr: process.addr("front")?,
+            desk_addr: process.addr("desk")?,
+            place: place.clone(),
+            process,
+        })
+    }
+
     async fn start_vm(&self, name: &str, place: &Place, role: &str) -> anyhow::Result<Process> {
         let dir = self.dir.path();
         let settings = files::write_settings(dir, &self.plan, name, place, role, &self.contacts)?;
