Measure the loss and return of a region

Cause: headroom and goodput through a region's loss are among the measures.

Ruled out: freezing its processes; a lost region's addresses refuse, and a frozen one would measure the callers' patience.

Before: one region only. After: scenario region-loss over three regions. Links' latencies aren't put in: a relay before a machine delays all who call it alike, and two ends need a relay for each pair.

--- a/crates/rig/src/cmd/measure.rs
+++ b/crates/rig/src/cmd/measure.rs
@@ -29,7 +29,7 @@
   --seed N               Seed of arrivals [1]
 
 Scenarios: short, mix, downloads, stragglers, slowed-0, slowed-10, slowed-25,
-overload-80, overload-100, overload-150, overload-300, drain, hop
+overload-80, overload-100, overload-150, overload-300, drain, hop, region-loss
 ";
 
 /// Runs the subcommand.
--- a/crates/rig/src/measure/deployment.rs
+++ b/crates/rig/src/measure/deployment.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 
 use waxwingctl::load::Stream;
-use world::Class;
+use world::{Class, Link};
 
 use crate::server::Behaviour;
 use crate::site::{Fleet, Plan, RegionPlan, keys, service};
@@ -18,6 +18,9 @@
 /// Part of the mean that every request takes, milliseconds.
 const BASE_MS: u64 = 70;
 
+/// Failure domains of each region.
+const DOMAINS: [&str; 2] = ["a", "b"];
+
 /// A deployment.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Deployment {
@@ -38,7 +41,9 @@
 
 /// Short work, operations and downloads of a deployment.
 struct Fleets {
-    region: &'static str,
+    regions: [&'static str; 3],
+    link_bits_per_s: u64,
+    link_latency_us: u64,
     short: Sizes,
     operations: Sizes,
     long: Sizes,
@@ -47,7 +52,9 @@
 }
 
 const BRANA: Fleets = Fleets {
-    region: "zapad",
+    regions: ["zapad", "stred", "vychod"],
+    link_bits_per_s: 4_000_000_000,
+    link_latency_us: 55_000,
     short: Sizes::new("terminy", 4, 10, 400, 1_000),
     operations: Sizes::new("objednavky", 2, 8, 400, 3_000),
     long: Sizes::new("podklady", 2, 3, 400, 10_000),
@@ -56,7 +63,9 @@
 };
 
 const TOLKELEHT: Fleets = Fleets {
-    region: "ee-north",
+    regions: ["ee-north", "fi-south", "lv-central"],
+    link_bits_per_s: 300_000_000,
+    link_latency_us: 12_000,
     short: Sizes::new("quotes", 4, 3, 350, 1_000),
     operations: Sizes::new("orders", 2, 3, 350, 3_000),
     long: Sizes::new("deliver", 2, 3, 350, 10_000),
@@ -129,10 +138,47 @@
             fleet(&fleets.operations, Class::Short, false, &quick)?,
             fleet(&fleets.long, Class::Long, true, &download)?,
         ]);
-        plan.regions = vec![RegionPlan::new(fleets.region, &["a", "b"])];
+        plan.regions = vec![RegionPlan::new(fleets.regions[0], &DOMAINS)];
+        Ok(plan)
+    }
+
+    /// A site of all three regions with one entry VM and one backend server
+    /// of short work in each failure domain.
+    ///
+    /// # Errors
+    /// Never: the names fit.
+    pub fn wide_plan(self) -> world::Result<Plan> {
+        let fleets = self.fleets();
+        let mut plan = self.plan()?;
+        let region = |name: &&str| RegionPlan::new(name, &DOMAINS);
+        plan.regions = fleets.regions.iter().map(region).collect();
+        plan.entries_per_domain = 1;
+        plan.fleets.truncate(1);
+        plan.fleets[0].per_domain = 1;
+        for from in fleets.regions {
+            for to in fleets.regions.into_iter().filter(|to| *to != from) {
+                plan.links.push(Link {
+                    from: from.parse()?,
+                    to: to.parse()?,
+                    rate_bits_per_s: fleets.link_bits_per_s,
+                    latency_us: fleets.link_latency_us,
+                });
+            }
+        }
         Ok(plan)
     }
 
+    /// Short work at this share of what the site of all regions can do.
+    ///
+    /// # Errors
+    /// Never: the names fit.
+    pub fn wide_stream(self, share: f64) -> world::Result<Stream> {
+        // Three regions of one server a domain, beside one of `per_domain`.
+        let per_domain = self.fleets().short.per_domain;
+        let part = 3.0 / f64::from(u32::try_from(per_domain).unwrap_or(u32::MAX));
+        self.short_stream(share * part)
+    }
+
     /// Service of the short work.
     #[must_use]
     pub fn short(self) -> &'static str {
--- a/crates/rig/src/measure/mod.rs
+++ b/crates/rig/src/measure/mod.rs
@@ -4,6 +4,7 @@
 mod deployment;
 mod drain;
 mod hop;
+mod region;
 mod sample;
 mod scenario;
 
@@ -101,7 +102,11 @@
             let site = Site::start(plan).await?;
             for scenario in &self.scenarios {
                 log::info!("scenario {scenario} of variant {}", variant.name);
-                for (row, note) in scenario.run(&site, self).await? {
+                let rows = match scenario {
+                    Scenario::RegionLoss => region::run(self, variant).await?,
+                    _ => scenario.run(&site, self).await?,
+                };
+                for (row, note) in rows {
                     lines.push(Line {
                         scenario: scenario.to_string(),
                         variant: variant.name.clone(),
--- a/crates/rig/src/measure/scenario.rs
+++ b/crates/rig/src/measure/scenario.rs
@@ -44,11 +44,13 @@
     Drain,
     /// One caller, directly and through an entry VM.
     Hop,
+    /// Short work over three regions, one of which is lost and returns.
+    RegionLoss,
 }
 
 impl Scenario {
     /// Every scenario.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::Short,
         Self::Mix,
         Self::Downloads,
@@ -62,6 +64,7 @@
         Self::Overload(300),
         Self::Drain,
         Self::Hop,
+        Self::RegionLoss,
     ];
 
     /// Runs the scenario; gives a row and a note for each stream.
@@ -122,7 +125,9 @@
                 let all = deployment.short_stream(f64::from(percent) / 100.0)?;
                 PLANS.map(|plan| of_plan(&all, plan)).to_vec()
             }
-            Self::Short | Self::Slowed(_) | Self::Drain | Self::Hop => vec![short],
+            Self::Short | Self::Slowed(_) | Self::Drain | Self::Hop | Self::RegionLoss => {
+                vec![short]
+            }
         })
     }
 }
@@ -168,6 +173,7 @@
             Self::Overload(percent) => write!(f, "overload-{percent}"),
             Self::Drain => f.write_str("drain"),
             Self::Hop => f.write_str("hop"),
+            Self::RegionLoss => f.write_str("region-loss"),
         }
     }
 }
--- a/crates/rig/src/site/mod.rs
+++ b/crates/rig/src/site/mod.rs
@@ -6,6 +6,7 @@
 mod files;
 mod plan;
 
+use std::mem;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -190,12 +191,17 @@
 
     async fn start_entries(&mut self) -> anyhow::Result<()> {
         for place in self.plan.places()? {
-            for number in 1..=self.plan.entries_per_domain {
-                let name = format!("entry-{}-{}-{number}", place.region, place.domain);
-                let vm = self.start_entry(&name, &place).await?;
-                self.contacts.seeds.push(vm.process.addr("link")?);
-                self.entries.push(vm);
-            }
+            self.start_entries_at(&place).await?;
+        }
+        Ok(())
+    }
+
+    async fn start_entries_at(&mut self, place: &Place) -> anyhow::Result<()> {
+        for number in 1..=self.plan.entries_per_domain {
+            let name = format!("entry-{}-{}-{number}", place.region, place.domain);
+            let vm = self.start_entry(&name, place).await?;
+            self.contacts.seeds.push(vm.process.addr("link")?);
+            self.entries.push(vm);
         }
         Ok(())
     }
@@ -215,6 +221,34 @@
         })
     }
 
+    /// Takes the machines of a region out of the site; they die when dropped.
+    pub fn take_region(&mut self, region: &str) -> (Vec<Vm>, Vec<Backend>) {
+        let is_there = |place: &Place| place.region.as_str() == region;
+        let (lost_entries, entries) = mem::take(&mut self.entries)
+            .into_iter()
+            .partition(|vm| is_there(&vm.place));
+        let (lost_backends, backends) = mem::take(&mut self.backends)
+            .into_iter()
+            .partition(|backend| is_there(&backend.place));
+        self.entries = entries;
+        self.backends = backends;
+        (lost_entries, lost_backends)
+    }
+
+    /// Starts the machines of a region anew.
+    ///
+    /// # Errors
+    /// When a process doesn't start or the site doesn't become ready.
+    pub async fn return_region(&mut self, region: &str) -> anyhow::Result<()> {
+        for place in self.plan.places()? {
+            if place.region.as_str() == region {
+                self.start_entries_at(&place).await?;
+                self.start_backends_at(&place).await?;
+            }
+        }
+        self.ready().await
+    }
+
     async fn start_vm(&self, name: &str, place: &Place, role: &str) -> anyhow::Result<Process> {
         let dir = self.dir.path();
         let settings = files::write_settings(dir, &self.plan, name, place, role, &self.contacts)?;
@@ -223,14 +257,19 @@
 
     async fn start_backends(&mut self) -> anyhow::Result<()> {
         for place in self.plan.places()? {
-            let near = self.entries.iter().filter(|vm| vm.place == place);
-            let desks: Vec<_> = near.map(|vm| vm.desk_addr).collect();
-            for fleet in &self.plan.fleets {
-                for number in 1..=fleet.per_domain {
-                    let dir = self.dir.path();
-                    let backend = Backend::start(fleet, number, &place, &desks, None, dir);
-                    self.backends.push(backend.await?);
-                }
+            self.start_backends_at(&place).await?;
+        }
+        Ok(())
+    }
+
+    async fn start_backends_at(&mut self, place: &Place) -> anyhow::Result<()> {
+        let near = self.entries.iter().filter(|vm| vm.place == *place);
+        let desks: Vec<_> = near.map(|vm| vm.desk_addr).collect();
+        for fleet in &self.plan.fleets {
+            for number in 1..=fleet.per_domain {
+                let dir = self.dir.path();
+                let backend = Backend::start(fleet, number, place, &desks, None, dir);
+                self.backends.push(backend.await?);
             }
         }
         Ok(())
--- a/crates/rig/src/site/plan.rs
+++ b/crates/rig/src/site/plan.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use serde_json::{Value, json};
-use world::{Class, Place, Service};
+use world::{Class, Link, Place, Service};
 
 use crate::server::Behaviour;
 
@@ -36,6 +36,8 @@
 pub struct Plan {
     /// Regions.
     pub regions: Vec<RegionPlan>,
+    /// Links between regions, as settings name them; nothing delays them here.
+    pub links: Vec<Link>,
     /// Entry VMs in each failure domain.
     pub entries_per_domain: usize,
     /// Control VMs, spread over the failure domains.
@@ -105,6 +107,7 @@
         };
         Ok(Self {
             regions: vec![RegionPlan::new("zapad", &["z1", "z2"])],
+            links: Vec::new(),
             entries_per_domain: 2,
             controls: 1,
             fleets: vec![
@@ -158,7 +161,8 @@
             let domains: Vec<_> = region.domains.iter().map(domain).collect();
             json!({ "name": region.name, "domains": domains })
         };
-        json!({ "regions": self.regions.iter().map(region).collect::<Vec<_>>() })
+        let regions: Vec<_> = self.regions.iter().map(region).collect();
+        json!({ "regions": regions, "links": self.links })
     }
 }
 
