--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod cmd;
 pub mod history;
+pub mod measure;
 pub mod process;
 pub mod relay;
 pub mod server;
