--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod relay;
 pub mod server;
 pub mod site;
+pub mod versions;
