Let the commit measurement go on without waiting for input

Cause: the example proposed again only at the next input or tick, so one proposal at once took 20 ms and the load never ended in time. Ruled out: a shorter tick, which would have measured the tick.

--- a/crates/quorum/examples/commit_rate.rs
+++ b/crates/quorum/examples/commit_rate.rs
@@ -26,6 +26,9 @@
 const ENTRIES_PER_BATCH: u64 = 100;
 const TICK: Duration = Duration::from_millis(20);
 
+/// Longest wait for the end of one load.
+const LOAD_WAIT: Duration = Duration::from_secs(20);
+
 /// Counts commands and keeps none.
 #[derive(Default)]
 struct Counter(u64);
@@ -93,7 +96,7 @@
     fn take(&mut self, input: Input) {
         match input {
             Input::Message(envelope) => self.replica.receive(*envelope, Instant::now()),
-            Input::Load(at_once, left) if self.replica.is_leader() => {
+            Input::Load(at_once, left) if self.replica.is_leader() && self.load.is_none() => {
                 let times_us = Histogram::new(3).expect("three digits");
                 self.load = Some(Load {
                     at_once,
@@ -107,6 +110,13 @@
     }
 
     fn work(&mut self) {
+        self.store();
+        while self.finish() {
+            self.store();
+        }
+    }
+
+    fn store(&mut self) {
         self.propose();
         self.send();
         while let Some(batch) = self.replica.take_batch() {
@@ -114,7 +124,6 @@
             self.replica.stored(batch.seq, Instant::now());
             self.send();
         }
-        self.finish();
     }
 
     fn send(&mut self) {
@@ -135,8 +144,12 @@
         }
     }
 
-    fn finish(&mut self) {
-        let Some(load) = &mut self.load else { return };
+    /// Whether any proposal has ended.
+    fn finish(&mut self) -> bool {
+        let Some(load) = &mut self.load else {
+            return false;
+        };
+        let before = load.left;
         for outcome in self.replica.take_outcomes() {
             let at = load.waiting.iter().position(|(t, _)| *t == outcome.ticket);
             let Some(at) = at else { continue };
@@ -145,11 +158,13 @@
             load.times_us += as_us(from.elapsed());
             load.left -= 1;
         }
+        let any = load.left < before;
         if load.left == 0
             && let Some(load) = self.load.take()
         {
             let _ = self.done.send(load.times_us);
         }
+        any
     }
 }
 
@@ -200,14 +215,16 @@
         };
         threads.push(std::thread::spawn(move || node.run(&inputs)));
     }
+    // Time to found the group and elect a leader.
+    std::thread::sleep(Duration::from_secs(2));
     for at_once in AT_ONCE {
-        // Only the leader takes the load; before there is one, ask again.
+        // Only the leader takes the load; if it changed, ask again.
         let times_us = loop {
             let begin = Instant::now();
             for sender in &senders {
                 let _ = sender.send(Input::Load(at_once, COMMITS));
             }
-            if let Ok(times_us) = results.recv_timeout(Duration::from_secs(10)) {
+            if let Ok(times_us) = results.recv_timeout(LOAD_WAIT) {
                 break (times_us, begin.elapsed());
             }
         };
