Replace pooled connections that stay silent, and let choosy work wait aside

Cause: a request on a silent connection waited until its deadline; the typical latency that should bound the wait had grown by the silent waits themselves. Work that must run alone, or off some servers, held up others when it found no slot. Ruled out: the relay (new connections through it answer).

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -105,12 +105,9 @@
     message: &Message<'_>,
 ) -> Result<Answered, Failure> {
     let peer = place.peer().map_err(Failure::not_run)?;
-    let request = message
-        .http(state, &place, &peer)
-        .map_err(Failure::not_run)?;
     let mut flow = connect(state, place, &peer, work).await?;
     let sent_at = Instant::now();
-    let sending = hand_over(state, &mut flow, request);
+    let sending = hand_over(state, &mut flow, work, message);
     let answer = match timeout_at(message.deadline, sending).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(failure)) => return Err(flow.failed(failure)),
@@ -160,26 +157,23 @@
     state.pool.open(peer, permit).await
 }
 
-/// Hands the request to the connection; a pooled one that has closed before
-/// the first byte went out is replaced by a new one.
+/// Hands the request to the connection. A pooled one that closed before the
+/// first byte went out, or that stays silent, is replaced by a new one.
 async fn hand_over(
     state: &State,
     flow: &mut Flow,
-    request: Request<Full<Bytes>>,
+    work: &Work,
+    message: &Message<'_>,
 ) -> Result<Response<Incoming>, (Outcome, Failure)> {
-    let reused = flow.connection.reused;
-    let mut failed = match flow.connection.sender.try_send_request(request).await {
-        Ok(answer) => return Ok(answer),
-        Err(error) => error,
-    };
-    let request = match failed.take_message() {
-        Some(request) if reused => request,
-        unsent => return Err(lost(flow, failed.error(), unsent.is_some())),
-    };
-    flow.connection = match open(state, &flow.place, &flow.peer).await {
-        Ok(connection) => connection,
-        Err(error) => return Err((Outcome::ConnectFailed, Failure::not_run(error))),
-    };
+    if flow.connection.reused {
+        if let Some(result) = try_reused(state, flow, work, message).await {
+            return result;
+        }
+        flow.connection = open(state, &flow.place, &flow.peer)
+            .await
+            .map_err(|error| (Outcome::ConnectFailed, Failure::not_run(error)))?;
+    }
+    let request = message.of(state, flow)?;
     let sent = flow.connection.sender.try_send_request(request).await;
     sent.map_err(|mut error| {
         let unsent = error.take_message().is_some();
@@ -187,6 +181,45 @@
     })
 }
 
+/// Tries a pooled connection; `None`: it is of no use, a new one may be tried.
+async fn try_reused(
+    state: &State,
+    flow: &mut Flow,
+    work: &Work,
+    message: &Message<'_>,
+) -> Option<Result<Response<Incoming>, (Outcome, Failure)>> {
+    let request = match message.of(state, flow) {
+        Ok(request) => request,
+        Err(failure) => return Some(Err(failure)),
+    };
+    let sent_at = Instant::now();
+    let until = if work.idempotent {
+        // Half of the time left stays for the new connection, whatever is typical.
+        let left = message.deadline.saturating_duration_since(sent_at);
+        sent_at + state.patience(&message.ask.service, work).min(left / 2)
+    } else {
+        message.deadline
+    };
+    let sending = flow.connection.sender.try_send_request(request);
+    match timeout_at(until, sending).await {
+        Ok(Ok(answer)) => Some(Ok(answer)),
+        Ok(Err(mut error)) => match error.take_message() {
+            Some(_) => None,
+            None => Some(Err(lost(flow, error.error(), false))),
+        },
+        Err(_) => {
+            log::info!(
+                target: "entry",
+                request = message.id,
+                server:% = flow.peer.name;
+                "connection is silent"
+            );
+            state.pool.silent(&flow.peer, sent_at);
+            None
+        }
+    }
+}
+
 /// What became of a request that got no answer.
 fn lost(flow: &Flow, error: &hyper::Error, unsent: bool) -> (Outcome, Failure) {
     let text = format!("{}: {error}", flow.peer.name);
@@ -272,6 +305,11 @@
 }
 
 impl Message<'_> {
+    fn of(&self, state: &State, flow: &Flow) -> Result<Request<Full<Bytes>>, (Outcome, Failure)> {
+        self.http(state, &flow.place, &flow.peer)
+            .map_err(|error| (Outcome::Cancelled, Failure::not_run(error)))
+    }
+
     /// The request in its HTTP form.
     ///
     /// # Errors
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -22,10 +22,16 @@
 /// Share of each plan limit that this VM starts with.
 const WHOLE_SHARE: f64 = 1.0;
 
-/// What waits for a slot, and how it is told.
+/// Choosy pieces of work that others may pass by at once.
+const PASSED_BY_MAX: usize = 8;
+
+/// How work that waits is told.
+type Reply = oneshot::Sender<Result<Slot, Error>>;
+
+/// What waits for a slot.
 struct Waiter {
     work: Work,
-    reply: oneshot::Sender<Result<Slot, Error>>,
+    reply: Reply,
 }
 
 /// Plan limits, queues, credits and backend servers of one entry VM.
@@ -312,24 +318,32 @@
     }
 
     /// The next piece of work that gets a slot.
-    fn next(
-        &self,
-        service: &ServiceName,
-    ) -> Option<(oneshot::Sender<Result<Slot, Error>>, Permit)> {
+    ///
+    /// Work that is choosy, as it runs alone or keeps off some servers, may
+    /// find none where others do; it keeps its place and lets them pass.
+    fn next(&self, service: &ServiceName) -> Option<(Reply, Permit)> {
         let now = Instant::now();
         let mut queues = self.queues.lock();
         let queue = queues.get_mut(service)?;
-        loop {
-            let waiting = queue.pop(now, |class| self.fits(now, service, class))?;
+        let mut passed_by = Vec::new();
+        let mut found = None;
+        while passed_by.len() < PASSED_BY_MAX {
+            let Some(waiting) = queue.pop(now, |class| self.fits(now, service, class)) else {
+                break;
+            };
             if waiting.payload.reply.is_closed() || now >= waiting.deadline {
                 continue;
             }
             if let Ok(permit) = self.take(now, service, &waiting.payload.work) {
-                return Some((waiting.payload.reply, permit));
+                found = Some((waiting.payload.reply, permit));
+                break;
             }
+            passed_by.push(waiting);
+        }
+        for waiting in passed_by.into_iter().rev() {
             queue.push_back(waiting);
-            return None;
         }
+        found
     }
 }
 
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -127,6 +127,12 @@
         drop(connection);
     }
 
+    /// Time for which a connection may be silent after a request.
+    #[must_use]
+    pub fn patience(&self, typical: Duration) -> Duration {
+        self.table.lock().trust.patience(typical)
+    }
+
     /// Takes in that a connection was silent since it was given a request.
     pub fn silent(&self, peer: &Peer, since: Instant) {
         self.table.lock().trust.silent(&peer.name, since);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,8 +1,10 @@
 //! The tables that all workers of an entry VM share.
 
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
 use conf::PolicySettings;
+use pick::Work;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use world::{Book, Config, EntryVm, Error, Kind, Rank, Ranked, Secret};
@@ -116,6 +118,16 @@
         self.bookings.get().ok_or_else(starting)
     }
 
+    /// Time for which a pooled connection may be silent after a request.
+    #[must_use]
+    pub fn patience(&self, service: &str, work: &Work) -> Duration {
+        let fleet = self.gate.fleet().table().lock();
+        let typical = fleet.latency_s(service, work.class);
+        drop(fleet);
+        self.pool
+            .patience(Duration::from_secs_f64(typical.unwrap_or_default()))
+    }
+
     /// The configuration in force here.
     #[must_use]
     pub fn in_force(&self) -> Arc<InForce> {
