--- a/crates/rig/tests/booking.rs
+++ b/crates/rig/tests/booking.rs
@@ -159,3 +159,21 @@
     }
     insta::assert_snapshot!(rows.join("\n"));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn majority_of_control_vms_lost() {
+    let mut site = Site::start(3).await;
+    let mut rows = vec![row("before", &site.book(0, "a", "", 5_000).await)];
+    for control in [1, 2] {
+        site.controls[control].kill().await.unwrap();
+    }
+    rows.push(row("new booking", &site.book(0, "b", "", 1_000).await));
+    rows.push(row("resent booking", &site.book(1, "a", "", 1_000).await));
+    rows.push(row("read", &site.read(0).await));
+    rows.push(format!("{} and {} runs", site.runs("a"), site.runs("b")));
+    site.restart_control(1).await;
+    rows.push(row("majority back", &settled(&site, 0, "b", "").await));
+    rows.push(row("resent booking", &settled(&site, 1, "a", "").await));
+    rows.push(format!("{} and {} runs", site.runs("a"), site.runs("b")));
+    insta::assert_snapshot!(rows.join("\n"));
+}
--- a/crates/rig/tests/site/mod.rs
+++ b/crates/rig/tests/site/mod.rs
@@ -203,6 +203,16 @@
         book(front, key, query, deadline_ms).await
     }
 
+    /// Sends a read, which needs no ledger, through an entry VM.
+    pub async fn read(&self, entry: usize) -> Told {
+        let request = Request::get("/objednavky/slots")
+            .header("x-waxwing-key", CUSTOMER_KEY)
+            .body(Full::default())
+            .unwrap();
+        let front = self.entries[entry].addr("front").unwrap();
+        told(send(front, request, CALL_WAIT).await)
+    }
+
     /// Kills an entry VM and starts it again.
     pub async fn restart_entry(&mut self, entry: usize) {
         self.entries[entry].kill().await.unwrap();
