Hold plan limits over all entry VMs, and share poison marks

Cause: each VM let a customer's whole plan pass, so n VMs let n plans pass; a request that crashed servers behind one VM was new to the next. A VM's own demand now counts as the least since the longest-silent VM was heard. Ruled out: equal split (a customer of one VM would get an n-th). A small burst (10) passes whole at each VM, and a customer that appears at n VMs at once may use n bursts for one beat.

--- a/crates/admit/src/limit.rs
+++ b/crates/admit/src/limit.rs
@@ -7,6 +7,9 @@
 
 use crate::bucket::Bucket;
 
+/// Part of a burst that every VM lets pass, whatever its share; requests.
+const BURST_WHOLE: u32 = 10;
+
 /// Leave to run one request, until it is given back.
 #[derive(Debug)]
 #[must_use = "the request counts as in flight until the pass is released"]
@@ -173,9 +176,10 @@
     }
 }
 
-/// Size of a bucket; below one token nothing would ever pass.
+/// Size of a bucket; a caller's small burst passes at whichever VM it uses.
 fn size(burst: u32, share: f64) -> f64 {
-    (f64::from(burst) * share).max(1.0)
+    let floor = f64::from(burst.clamp(1, BURST_WHOLE));
+    (f64::from(burst) * share).max(floor)
 }
 
 fn over_plan(contract: &Contract, what: &str) -> Error {
--- a/crates/admit/src/share.rs
+++ b/crates/admit/src/share.rs
@@ -1,8 +1,8 @@
 //! Shares of a plan's limit among the entry VMs, by demand.
 //!
 //! Every VM reports the demand it sees. A VM weighs its own demand by the
-//! least that it reported within the settle time, and the others' by their
-//! last report. While reports arrive within that time the shares never sum to
+//! least that it reported within the settle time, or since the VM that has been
+//! silent longest was last heard, and the others' by their last report. While reports arrive within that time the shares never sum to
 //! more than the whole: whatever a VM counts for itself, every other VM counts
 //! for it at least.
 //!
@@ -49,17 +49,17 @@
     pub rate_per_s: f64,
 }
 
-/// Our own reports that were in force within the settle time.
+/// Our own reports.
 #[derive(Clone, Debug, Default)]
 struct Reports {
     sent: VecDeque<(Instant, f64)>,
 }
 
 impl Reports {
-    fn push(&mut self, now: Instant, rate_per_s: f64, settle_ms: u64) {
+    /// Reports that ended before `keep_from` are forgotten.
+    fn push(&mut self, now: Instant, rate_per_s: f64, keep_from: Instant) {
         self.sent.push_back((now, rate_per_s));
-        let settled = |d: &(Instant, f64)| d.0 + ms(settle_ms) <= now;
-        while self.sent.get(1).is_some_and(settled) {
+        while self.sent.get(1).is_some_and(|next| next.0 <= keep_from) {
             self.sent.pop_front();
         }
     }
@@ -68,8 +68,9 @@
         self.sent.back().map_or(0.0, |d| d.1)
     }
 
-    fn least(&self, now: Instant, settle_ms: u64) -> f64 {
-        let ended = |next: &(Instant, f64)| next.0 + ms(settle_ms) <= now;
+    /// The least report that was in force after `since`.
+    fn least(&self, since: Instant) -> f64 {
+        let ended = |next: &(Instant, f64)| next.0 <= since;
         let sent = self.sent.iter().enumerate();
         sent.filter(|(at, _)| !self.sent.get(at + 1).is_some_and(ended))
             .map(|(_, (_, rate_per_s))| *rate_per_s)
@@ -117,7 +118,7 @@
         } else {
             seen.rate_per_s
         };
-        self.own.push(now, rate_per_s, self.settings.settle_ms);
+        self.own.push(now, rate_per_s, self.settled_since(now));
         Demand { rate_per_s }
     }
 
@@ -144,12 +145,19 @@
             return 1.0 / f64::from(self.vm_count);
         }
         let idle_per_s = self.settings.idle_per_s;
-        let own = self.own.least(now, settle_ms) + idle_per_s;
+        let own = self.own.least(self.settled_since(now)) + idle_per_s;
         let others = self.others.values().map(|h| h.rate_per_s + idle_per_s);
         let others: f64 = others.sum();
         own / (own + others)
     }
 
+    /// Every VM that is not forgotten has answered for reports older than this.
+    fn settled_since(&self, now: Instant) -> Instant {
+        let settled = now.checked_sub(ms(self.settings.settle_ms)).unwrap_or(now);
+        let heard = self.others.values().map(|heard| heard.at).min();
+        heard.map_or(settled, |heard| heard.min(settled))
+    }
+
     fn has_silent_peer(&self, now: Instant) -> bool {
         let settle = ms(self.settings.settle_ms);
         self.others.values().any(|heard| heard.at + settle < now)
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -1,10 +1,11 @@
 //! The gate before the backend servers that this VM owns: who gets which slot, and when.
 //!
-//! Lock order within the gate: queues, then credits, then the fleet.
+//! Lock order within the gate: shares, limits or queues, then credits, then the fleet.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use admit::limit::Seen;
 use admit::queue::{late_error, shed_error};
 use admit::{CreditId, Grant, Limits, Pass, Queue, Waiting};
 use conf::PolicySettings;
@@ -17,6 +18,7 @@
 };
 
 use crate::credits::{Credits, Slots};
+use crate::shares::PlanShares;
 use crate::slot::Slot;
 
 /// Share of each plan limit that this VM starts with.
@@ -42,6 +44,7 @@
     credits: Ranked<Credits>,
     fleet: SharedFleet,
     poison: Ranked<Poison>,
+    shares: Ranked<PlanShares>,
 }
 
 impl Gate {
@@ -58,6 +61,7 @@
                 Credits::new(now, region, policy.credits, seed),
             ),
             fleet: SharedFleet::new(fleet),
+            shares: Ranked::new(Rank::Members, PlanShares::new(now)),
             poison: Ranked::new(Rank::Poison, Poison::new(policy.poison)),
             policy,
         }
@@ -93,6 +97,24 @@
         })
     }
 
+    /// Takes in the demand seen since the last call, sets this VM's share of
+    /// each plan limit, and gives what to report to the other VMs.
+    pub fn report_demand(&self, now: Instant, vm_count: u32) -> Vec<Seen> {
+        let seen = self.limits.lock().take_seen(now);
+        let mut shares = self.shares.lock();
+        let reported = shares.report_own(now, seen, vm_count);
+        let mut limits = self.limits.lock();
+        for (customer, service, share) in shares.rows(now) {
+            limits.set_share(now, customer.as_str(), service.as_str(), share);
+        }
+        reported
+    }
+
+    /// Takes in another VM's demand.
+    pub fn heard_demand(&self, now: Instant, vm: &MachineName, seen: &[Seen]) {
+        self.shares.lock().report(now, vm, seen);
+    }
+
     /// Whether the work must run alone.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/entry/src/notices.rs
@@ -0,0 +1,92 @@
+//! What entry VMs tell each other now and then: customers' demand, so that a
+//! plan's limit holds over all of them, and requests that crash backend servers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use admit::limit::Seen;
+use peers::Links;
+use pick::{Fingerprint, Mark};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+use wire::Body;
+use wire::body::{Demand, Notice, PoisonMark};
+use world::{CustomerName, EntryVm, MachineName, ServiceName};
+
+use crate::gate::Gate;
+use crate::state::State;
+
+/// Time between two notices.
+pub const NOTICE_EVERY: Duration = Duration::from_millis(500);
+
+/// Tells all live entry VMs until the task is dropped.
+pub async fn tell(state: Arc<State>, links: Arc<Links<State>>) {
+    let mut beat = interval(NOTICE_EVERY);
+    beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut sending = JoinSet::new();
+    loop {
+        beat.tick().await;
+        while sending.try_join_next().is_some() {}
+        let now = Instant::now();
+        let others = others(&state, now);
+        let vm_count = u32::try_from(others.len() + 1).unwrap_or(u32::MAX);
+        let notice = notice(&state.gate, now, vm_count);
+        for vm in others {
+            let link = links.to(vm.link_addr);
+            let notice = Body::Notice(notice.clone());
+            sending.spawn(async move { link.tell(notice).await });
+        }
+    }
+}
+
+/// Takes in a notice of another entry VM.
+pub fn heard(gate: &Gate, from: &MachineName, notice: &Notice) {
+    let now = Instant::now();
+    let seen: Vec<Seen> = notice.demands.iter().filter_map(seen_of).collect();
+    gate.heard_demand(now, from, &seen);
+    let marks: Vec<Mark> = notice.marks.iter().map(mark_of).collect();
+    gate.merge_marks(now, &marks);
+}
+
+fn others(state: &State, now: Instant) -> Vec<EntryVm> {
+    let mut others = state.members.lock().live(now);
+    others.retain(|vm| vm.name != state.me.name);
+    others
+}
+
+fn notice(gate: &Gate, now: Instant, vm_count: u32) -> Notice {
+    let demands = gate.report_demand(now, vm_count);
+    let demands = demands.into_iter().map(|seen| Demand {
+        customer: seen.customer.into(),
+        service: seen.service.into(),
+        rate_per_s: seen.rate_per_s,
+    });
+    let marks = gate.marks(now).into_iter().map(|mark| PoisonMark {
+        fingerprint: mark.fingerprint.0,
+        convicted: mark.convicted,
+        crash_id: mark.crash_id,
+        left_ms: mark.left_ms,
+    });
+    Notice {
+        demands: demands.collect(),
+        marks: marks.collect(),
+    }
+}
+
+fn seen_of(demand: &Demand) -> Option<Seen> {
+    let rate_per_s = demand.rate_per_s;
+    Some(Seen {
+        customer: CustomerName::new(&demand.customer).ok()?,
+        service: ServiceName::new(&demand.service).ok()?,
+        rate_per_s: (rate_per_s.is_finite() && rate_per_s >= 0.0).then_some(rate_per_s)?,
+    })
+}
+
+fn mark_of(mark: &PoisonMark) -> Mark {
+    Mark {
+        fingerprint: Fingerprint(mark.fingerprint),
+        convicted: mark.convicted,
+        crash_id: mark.crash_id,
+        left_ms: mark.left_ms,
+    }
+}
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -10,10 +10,15 @@
 use world::{EntryVm, Error, Kind, MachineName};
 
 use crate::crossing::give;
+use crate::notices;
 use crate::state::State;
 
 impl Serve for State {
     async fn serve(self: &Arc<Self>, from: &MachineName, body: Body) -> Option<Body> {
+        if let Body::Notice(notice) = &body {
+            notices::heard(&self.gate, from, notice);
+            return None;
+        }
         let answer = match body {
             Body::ConfigAsk(ask) => Ok(self.give(&ask)),
             Body::CreditAsk(ask) => Ok(Body::CreditGive(give(&self.gate, from, &ask))),
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -19,6 +19,7 @@
 use crate::crossing::Crossing;
 use crate::desk::{Context, api};
 use crate::front;
+use crate::notices::tell;
 use crate::pull::{pull_config, tell_members};
 use crate::state::{State, Times};
 use crate::tend::tend;
@@ -68,6 +69,7 @@
     let sources = settings.control.iter().map(|c| c.link).collect();
     let tasks = vec![
         tokio::spawn(tend(Arc::clone(&state))),
+        tokio::spawn(tell(Arc::clone(&state), Arc::clone(&links))),
         tokio::spawn(accept(link_listener, identity, Arc::clone(&state))),
         tokio::spawn(pull_config(Arc::clone(&state), Arc::clone(&links), sources)),
         tokio::spawn(tell_members(
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -70,6 +70,9 @@
     /// Gives credits.
     #[prost(message, tag = "27")]
     CreditGive(CreditGive),
+    /// Tells other entry VMs what one has seen.
+    #[prost(message, tag = "28")]
+    Notice(Notice),
 }
 
 /// Opens a connection: a number that the other side binds its proof to.
@@ -237,6 +240,48 @@
     pub slots: u32,
 }
 
+/// What one entry VM tells the others now and then; it wants no reply.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Notice {
+    /// Demand of customers that it sees.
+    #[prost(message, repeated, tag = "1")]
+    pub demands: Vec<Demand>,
+    /// Requests that crashed backend servers.
+    #[prost(message, repeated, tag = "2")]
+    pub marks: Vec<PoisonMark>,
+}
+
+/// Demand of one customer for one service.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Demand {
+    /// Customer.
+    #[prost(string, tag = "1")]
+    pub customer: String,
+    /// Service.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Requests a second, admitted or not.
+    #[prost(double, tag = "3")]
+    pub rate_per_s: f64,
+}
+
+/// What is held against a request.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PoisonMark {
+    /// Fingerprint of the request.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// Whether it is refused, not only run alone.
+    #[prost(bool, tag = "2")]
+    pub convicted: bool,
+    /// Number of the crash that it is marked for.
+    #[prost(fixed64, tag = "3")]
+    pub crash_id: u64,
+    /// Time that the mark still holds, milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub left_ms: u64,
+}
+
 impl From<&Error> for Refusal {
     fn from(error: &Error) -> Self {
         Self {
