Set room aside only for answers that are still expected

Ruled out: no reservation (an answer could find no room while its operation runs), and a smaller one (same fault, later).

Before: Full after 1,024 begun operations. After: the room is given back once the answer is overdue; one that still comes and finds no room counts as run and not kept.

--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -42,7 +42,8 @@
     limits: Limits,
     now_ms: u64,
     fence: u64,
-    begun: usize,
+    /// Operations within the time in which their answer is expected, by its end.
+    running: BTreeSet<(u64, OperationId)>,
     answers_bytes: usize,
     #[serde_as(as = "Vec<(_, _)>")]
     operations: BTreeMap<OperationId, Operation>,
@@ -66,7 +67,7 @@
             limits,
             now_ms: 0,
             fence: 0,
-            begun: 0,
+            running: BTreeSet::new(),
             answers_bytes: 0,
             operations: BTreeMap::new(),
             expiry: BTreeSet::new(),
@@ -174,7 +175,6 @@
         run_ms: u64,
     ) -> Reply {
         self.fence += 1;
-        self.begun += 1;
         let until_ms = self.now_ms + run_ms.min(self.limits.run_max_ms);
         let operation = Operation {
             digest,
@@ -183,6 +183,7 @@
             phase: Phase::Begun { until_ms },
             expires_ms: until_ms + self.limits.retention_ms,
         };
+        self.running.insert((until_ms, id.clone()));
         self.expiry.insert((operation.expires_ms, id.clone()));
         self.operations.insert(id, operation);
         Reply::Granted { fence: self.fence }
@@ -215,7 +216,9 @@
         }
         match (&operation.phase, &phase) {
             (Phase::Done(_), _) | (Phase::Lost, Phase::Lost) => return Reply::Accepted,
-            (Phase::Begun { .. }, _) => self.begun -= 1,
+            (Phase::Begun { until_ms }, _) => {
+                self.running.remove(&(*until_ms, id.clone()));
+            }
             (Phase::Lost, _) => {}
         }
         if let Phase::Done(Some(answer)) = &phase {
@@ -232,10 +235,10 @@
         if let Some(operation) = self.operations.get(id)
             && operation.attempt == attempt
         {
-            if !matches!(operation.phase, Phase::Begun { .. }) {
+            let Phase::Begun { until_ms } = operation.phase else {
                 return Reply::Refused;
-            }
-            self.begun -= 1;
+            };
+            self.running.remove(&(until_ms, id.clone()));
             self.expiry.remove(&(operation.expires_ms, id.clone()));
             self.operations.remove(id);
         }
@@ -258,7 +261,7 @@
     }
 
     fn is_full(&self) -> bool {
-        let reserved_bytes = (self.begun + 1) * self.limits.answer_max_bytes;
+        let reserved_bytes = (self.running.len() + 1) * self.limits.answer_max_bytes;
         self.operations.len() >= self.limits.operations_max
             || self.operations.len() + self.spent.len() >= self.limits.spent_max
             || self.answers_bytes + reserved_bytes > self.limits.answers_max_bytes
@@ -271,6 +274,11 @@
         {
             self.abandoned.remove(&attempt);
         }
+        while let Some((until_ms, _)) = self.running.first()
+            && *until_ms < self.now_ms
+        {
+            self.running.pop_first();
+        }
         while let Some((at_ms, _)) = self.expiry.first()
             && *at_ms <= self.now_ms
             && let Some((_, id)) = self.expiry.pop_first()
@@ -284,10 +292,8 @@
         let Some(operation) = self.operations.remove(id) else {
             return;
         };
-        match operation.phase {
-            Phase::Begun { .. } => self.begun -= 1,
-            Phase::Done(Some(answer)) => self.answers_bytes -= answer.size_bytes(),
-            Phase::Lost | Phase::Done(None) => {}
+        if let Phase::Done(Some(answer)) = operation.phase {
+            self.answers_bytes -= answer.size_bytes();
         }
         self.spent.insert(id.short_digest(), self.now_ms);
     }
--- a/crates/once/tests/ledger.rs
+++ b/crates/once/tests/ledger.rs
@@ -182,6 +182,33 @@
     ));
 }
 
+#[test]
+fn room_is_kept_for_the_answers_of_running_operations_only() {
+    let mut limits = Limits::default();
+    limits.answers_max_bytes = 2 * limits.answer_max_bytes;
+    insta::assert_snapshot!(script(
+        limits,
+        vec![
+            (0, "begin a", begin("a", "a", 1, 0)),
+            (1, "begin b", begin("b", "a", 2, 0)),
+            (2, "begin c: no room for its answer", begin("c", "a", 3, 0)),
+            (
+                5_002,
+                "begin c: a and b are overdue",
+                begin("c", "a", 4, 5_000)
+            ),
+            (5_003, "abandon c", abandon("c", 4, 5_000)),
+            (5_004, "finish a late", finish("a", 1, "booked")),
+            (
+                5_005,
+                "begin d: room but for the answer of a",
+                begin("d", "a", 5, 5_000)
+            ),
+            (5_006, "begin e", begin("e", "a", 6, 5_000)),
+        ]
+    ));
+}
+
 fn any_request() -> impl Strategy<Value = Request> {
     let key = prop::sample::select(vec!["k", "m", "n"]);
     (0..5_u8, key, 0..6_u128, 0..40_000_u64).prop_map(|(what, key, number, at_ms)| match what {
