Look an operation up before its plan refuses it

Cause: a resend over its plan's limit heard "not run" although an earlier request with the key may have run; its caller would book again under another key. And an attempt at the owner of a backend server, over a pooled connection that stayed silent until the deadline, was left to the order of polling not to go out a second time, whatever its work.

Ruled out: another kind for "over plan, perhaps run" (the ledger knows), and admitting resends (the plan bounds what runs; a look runs nothing).

Before: over_plan (not run) for a booked key. After: the stored answer; a new key is refused as before. Work that is not idempotent ends as unknown when a pooled connection stays silent.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -215,7 +215,13 @@
                 "connection is silent"
             );
             state.pool.silent(&flow.peer, sent_at);
-            None
+            if work.idempotent {
+                return None;
+            }
+            // It may have run, so it never goes out a second time.
+            let text = format!("{} was running", flow.peer.name);
+            let failure = Failure::unknown(Error::new(Kind::DeadlineRunning, text));
+            Some(Err((Outcome::TimedOut, failure)))
         }
     }
 }
--- a/crates/entry/src/booking.rs
+++ b/crates/entry/src/booking.rs
@@ -11,7 +11,6 @@
 use hyper::Response;
 use once::{Job, OperationId, OperationKey, RequestDigest, Settled, Steward, Waits};
 use peers::Links;
-use pick::Work;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 use world::{Contract, Error, Kind};
@@ -19,7 +18,8 @@
 use crate::ask::{Ask, IDEMPOTENCY_HEADER};
 use crate::body::AnswerBody;
 use crate::state::State;
-use exchange::{Exchange, Whole};
+pub use exchange::Exchange;
+use exchange::Whole;
 use ledger::LinkLedger;
 
 /// Time for which a late answer is still waited for and stored.
@@ -62,15 +62,10 @@
     /// [`Kind::KeyMissing`], and any kind of the ledger or the backend server.
     pub async fn answer(
         self: &Arc<Self>,
-        state: &Arc<State>,
-        ask: Ask,
-        contract: &Contract,
-        work: Work,
-        request: &str,
+        exchange: Exchange,
         deadline: Instant,
     ) -> Result<Response<AnswerBody>, Error> {
-        let job = job(&ask, contract, deadline)?;
-        let exchange = Exchange::new(Arc::clone(state), ask, contract.clone(), work, request);
+        let job = job(&exchange.ask, &exchange.contract, deadline)?;
         let running = Running::new(Arc::clone(self));
         let task = tokio::spawn(running.drive(job, exchange));
         let settled = timeout_at(deadline + REFUSAL_GRACE, task)
--- a/crates/entry/src/booking/exchange.rs
+++ b/crates/entry/src/booking/exchange.rs
@@ -17,6 +17,7 @@
 use crate::ask::Ask;
 use crate::attempt::{Answered, Failure, Message, judge, open};
 use crate::flow::Flow;
+use crate::gate::Admitted;
 use crate::place::find;
 use crate::state::State;
 
@@ -25,10 +26,11 @@
 
 /// An operation on its way to a backend server.
 pub struct Exchange {
+    pub(super) ask: Ask,
+    pub(super) contract: Contract,
     state: Arc<State>,
-    ask: Ask,
-    contract: Contract,
     work: Work,
+    admitted: Result<Admitted, Error>,
     request: String,
 }
 
@@ -52,12 +54,24 @@
 
 impl Exchange {
     /// An operation that a caller asked for with this request.
-    pub fn new(state: Arc<State>, ask: Ask, contract: Contract, work: Work, request: &str) -> Self {
+    ///
+    /// One that its plan does not admit is looked up all the same: "not run"
+    /// would not be true of an operation that an earlier request ran.
+    #[must_use]
+    pub fn new(
+        state: &Arc<State>,
+        ask: Ask,
+        contract: Contract,
+        work: Work,
+        admitted: Result<Admitted, Error>,
+        request: &str,
+    ) -> Self {
         Self {
-            state,
             ask,
             contract,
+            state: Arc::clone(state),
             work,
+            admitted,
             request: request.into(),
         }
     }
@@ -100,6 +114,9 @@
     type Ready = Flow;
 
     async fn ready(&mut self, deadline: Instant) -> Result<Flow, Error> {
+        if let Err(error) = &self.admitted {
+            return Err(error.clone());
+        }
         let place = find(&self.state, &self.contract, &self.work, deadline).await?;
         let peer = place.peer()?;
         let connection = timeout_at(deadline, open(&self.state, &place, &peer))
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -16,7 +16,7 @@
 use crate::ask::Ask;
 use crate::attempt::Answered;
 use crate::body::{AnswerBody, Stream};
-use crate::booking;
+use crate::booking::{self, Exchange};
 use crate::gate::Admitted;
 use crate::headers;
 use crate::metrics::Labels;
@@ -78,12 +78,12 @@
         let answered = arrival.run(state, &ask, &contract, &work, deadline).await?;
         return Ok(passed_on(answered, None));
     }
-    let admitted = state.gate.pass(Instant::now(), &contract)?;
+    let admitted = state.gate.pass(Instant::now(), &contract);
     if booking::concerns(&ask, &contract) {
-        let bookings = state.bookings()?;
-        let answer = bookings.answer(state, ask, &contract, work, id, deadline);
-        return answer.await;
+        let exchange = Exchange::new(state, ask, contract, work, admitted, id);
+        return state.bookings()?.answer(exchange, deadline).await;
     }
+    let admitted = admitted?;
     let tries = Tries {
         state,
         ask: &ask,
--- a/crates/rig/tests/booking.rs
+++ b/crates/rig/tests/booking.rs
@@ -7,7 +7,7 @@
 use rig::process::wait_until;
 use rig::relay::Mode;
 use rig::server::Behaviour;
-use site::{Site, Told, book};
+use site::{SMALL_KEY, Site, Told, book, book_as};
 
 fn row(what: &str, told: &Told) -> String {
     format!("{what:24} {} ({})", told.what, told.ran)
@@ -177,3 +177,20 @@
     rows.push(format!("{} and {} runs", site.runs("a"), site.runs("b")));
     insta::assert_snapshot!(rows.join("\n"));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn over_its_plan() {
+    let site = Site::start(1).await;
+    let front = site.entries[0].addr("front").unwrap();
+    let small = move |key: &'static str, query: &'static str| async move {
+        book_as(SMALL_KEY, front, key, query, 5_000).await
+    };
+    let mut rows = vec![row("first", &small("a", "").await)];
+    let long = tokio::spawn(small("b", "?rig-ms=2000"));
+    until_runs(&site, "b").await;
+    rows.push(row("resent meanwhile", &small("a", "").await));
+    rows.push(row("third meanwhile", &small("c", "").await));
+    rows.push(row("second", &long.await.unwrap()));
+    rows.push(format!("{} and {} runs", site.runs("a"), site.runs("c")));
+    insta::assert_snapshot!(rows.join("\n"));
+}
--- a/crates/rig/tests/site/mod.rs
+++ b/crates/rig/tests/site/mod.rs
@@ -22,6 +22,8 @@
 const SECRET: &str = "between processes";
 const OPERATOR_KEY: &str = "operator";
 const CUSTOMER_KEY: &str = "customer";
+/// Key of a customer whose plan admits one request at a time.
+pub const SMALL_KEY: &str = "small customer";
 const CALL_WAIT: Duration = Duration::from_secs(10);
 
 pub struct Site {
@@ -72,10 +74,18 @@
 fn lists() -> Value {
     json!({
         "services": [{"name": "objednavky", "class": "short", "idempotent": false, "deadline_ms": 5_000}],
-        "plans": [{"name": "dispatch", "priority": 9, "uses": [
-            {"service": "objednavky", "rate_per_s": 1_000, "burst": 1_000, "in_flight": 100}
-        ]}],
-        "customers": [{"name": "brana", "plan": "dispatch", "key_sha256": [digest(CUSTOMER_KEY)]}],
+        "plans": [
+            {"name": "dispatch", "priority": 9, "uses": [
+                {"service": "objednavky", "rate_per_s": 1_000, "burst": 1_000, "in_flight": 100}
+            ]},
+            {"name": "small", "priority": 1, "uses": [
+                {"service": "objednavky", "rate_per_s": 1_000, "burst": 1_000, "in_flight": 1}
+            ]},
+        ],
+        "customers": [
+            {"name": "brana", "plan": "dispatch", "key_sha256": [digest(CUSTOMER_KEY)]},
+            {"name": "kiosk", "plan": "small", "key_sha256": [digest(SMALL_KEY)]},
+        ],
     })
 }
 
@@ -291,8 +301,19 @@
 
 /// Sends a booking to the front of an entry VM.
 pub async fn book(front: SocketAddr, key: &str, query: &str, deadline_ms: u64) -> Told {
+    book_as(CUSTOMER_KEY, front, key, query, deadline_ms).await
+}
+
+/// Sends a booking of the customer with this key.
+pub async fn book_as(
+    customer: &str,
+    front: SocketAddr,
+    key: &str,
+    query: &str,
+    deadline_ms: u64,
+) -> Told {
     let request = Request::post(format!("/objednavky/slots{query}"))
-        .header("x-waxwing-key", CUSTOMER_KEY)
+        .header("x-waxwing-key", customer)
         .header("idempotency-key", key)
         .header("x-waxwing-deadline-ms", deadline_ms)
         .body(Full::from("slot 7"))
