--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 use world::{BackendServer, EntryVm, Error, Kind, MachineName};
 
+use crate::path::known;
 use crate::state::State;
 
 /// What the desk works on: the tables, once the desk's own address is known.
@@ -98,6 +99,7 @@
     let state = request.context().state()?;
     let query = query.into_inner();
     let in_force = state.in_force();
+    known(&in_force)?;
     if in_force.book.service(&query.service).is_none() {
         let text = format!("no service {:?}", query.service);
         return Err(Error::new(Kind::NoSuchService, text).into());
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -9,7 +9,7 @@
 use pick::{Fingerprint, Work};
 use tokio::time::Instant;
 use world::unit::{as_us, ms};
-use world::{Contract, Error};
+use world::{Contract, Error, Kind};
 
 use crate::answer::refuse;
 use crate::arrival::Arrival;
@@ -54,6 +54,19 @@
     response
 }
 
+/// Refuses while no configuration has come here: whom it would take for
+/// unknown may well be known.
+///
+/// # Errors
+/// [`Kind::Leaving`], so that the caller goes to another entry VM at once.
+pub fn known(in_force: &InForce) -> Result<(), Error> {
+    if in_force.config.version > 0 {
+        return Ok(());
+    }
+    let text = "this entry VM is starting and has no configuration yet";
+    Err(Error::new(Kind::Leaving, text))
+}
+
 fn stamp(response: &mut Response<AnswerBody>, in_force: &InForce, id: &str) {
     let stamped = response.headers_mut();
     stamped.insert(headers::CONFIG, in_force.config.version.into());
@@ -69,6 +82,7 @@
     (id, arrival): (&str, Option<Arrival>),
     labels: &mut Labels,
 ) -> Result<Response<AnswerBody>, Error> {
+    known(in_force)?;
     let ask = Ask::read(request).await?;
     let contract = in_force.book.contract(&ask.key, &ask.service)?;
     *labels = Labels::of(&contract);
