--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -126,6 +126,20 @@
         self.signal(Signal::SIGSTOP)
     }
 
+    /// Waits until a frozen process stands still.
+    ///
+    /// # Errors
+    /// When it has ended or doesn't stop in time.
+    pub async fn stopped(&self) -> anyhow::Result<()> {
+        let path = format!("/proc/{}/stat", self.pid()?);
+        let look = || async {
+            let stat = fs::read_to_string(&path).ok()?;
+            let (_, state) = stat.rsplit_once(") ")?;
+            state.starts_with('T').then_some(())
+        };
+        wait_until("process stands still", look).await
+    }
+
     /// Lets a frozen process go on.
     ///
     /// # Errors
--- a/crates/rig/tests/process.rs
+++ b/crates/rig/tests/process.rs
@@ -28,6 +28,7 @@
     let stats: Stats = get(control, "/rig/stats").await.unwrap();
     assert_eq!(stats.started, 0);
     backend.freeze().unwrap();
+    backend.stopped().await.unwrap();
     let request = hyper::Request::get("/rig/stats").body(http_body_util::Full::default());
     let short = Duration::from_millis(100);
     let answer = waxwingctl::http::send(control, request.unwrap(), short).await;
