Name one owner for each backend server and hand over by leases

Cause: slots are exact only if one entry VM at a time sends work to a backend server.

Ruled out: a majority of the domain's VMs (a domain of two would stop with one of them); slots split between the sides of a cut (halves capacity for a minute after every ordinary death). Instead a VM that hears nobody gives up its rights after one lease, and goes on alone after ten.

Before: every entry VM used every slot.

--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod link;
 pub mod links;
 pub mod members;
+pub mod owner;
 pub mod serve;
 
 pub use accept::accept;
--- /dev/null
+++ b/crates/peers/tests/owner.rs
@@ -0,0 +1,148 @@
+//! Handover of backend servers: two entry VMs never hold the right at once.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use peers::owner::{Owners, Right, Sight, owner};
+use proptest::prelude::*;
+use tokio::time::Instant;
+use world::{MachineName, ServerName};
+
+const LEASE: Duration = Duration::from_secs(3);
+/// Least time from a VM's last answer until others hold it dead.
+const DETECTION: Duration = Duration::from_millis(4_200);
+
+fn vm(index: usize) -> MachineName {
+    MachineName::new(&format!("entry-{index}")).expect("name")
+}
+
+fn server(index: usize) -> ServerName {
+    ServerName::new(&format!("terminy-{index}")).expect("name")
+}
+
+fn sight(live: &[usize], heard_at: Option<Instant>) -> Sight {
+    Sight {
+        live: live.iter().map(|i| vm(*i)).collect(),
+        others: true,
+        heard_at,
+    }
+}
+
+#[test]
+fn servers_spread_and_only_the_lost_ones_move() {
+    let all: Vec<MachineName> = (0..4).map(vm).collect();
+    let without: Vec<MachineName> = (1..4).map(vm).collect();
+    let mut before = BTreeMap::new();
+    let mut after = BTreeMap::new();
+    for index in 0..1_000 {
+        let old = owner(&server(index), &all).expect("owner").clone();
+        let new = owner(&server(index), &without).expect("owner").clone();
+        assert!(old == new || old == vm(0));
+        *before.entry(old).or_insert(0) += 1;
+        *after.entry(new).or_insert(0) += 1;
+    }
+    insta::assert_debug_snapshot!((before, after));
+}
+
+#[test]
+fn rights_of_two_vms_through_a_cut() {
+    let start = Instant::now();
+    let at = |s: u64| start + Duration::from_secs(s);
+    let lost = (0..100)
+        .map(server)
+        .find(|s| owner(s, &[vm(0), vm(1)]) == Some(&vm(0)));
+    let lost = lost.expect("a server of entry-0");
+    let mut cut = Owners::new(vm(0), LEASE, start);
+    let mut left = Owners::new(vm(1), LEASE, start);
+    let mut rows = Vec::new();
+    for second in 0..50 {
+        let now = at(second);
+        // entry-0 hears nobody from second 10 to 45 and holds entry-1 dead from 15.
+        let is_cut = (10..45).contains(&second);
+        let apart = (15..46).contains(&second);
+        let heard = if is_cut { at(9) } else { now };
+        let (mine, theirs): (&[usize], &[usize]) = if apart {
+            (&[0], &[1])
+        } else {
+            (&[0, 1], &[0, 1])
+        };
+        cut.look(now, sight(mine, Some(heard)));
+        left.look(now, sight(theirs, Some(now)));
+        let rights = [cut.right(now, &lost), left.right(now, &lost)].map(|right| match right {
+            Right::Owner => "owner".to_owned(),
+            Right::From(from) => format!("waits to {} s", (from - start).as_secs()),
+            Right::Elsewhere(name) => format!("is with {name}"),
+            Right::Lapsed => "lapsed".to_owned(),
+        });
+        let row = format!("cut {}, other {}", rights[0], rights[1]);
+        if rows.last().is_none_or(|(_, last)| *last != row) {
+            rows.push((second, row));
+        }
+    }
+    let rows: Vec<String> = rows
+        .iter()
+        .map(|(s, row)| format!("{s:2} s: {row}"))
+        .collect();
+    insta::assert_snapshot!(rows.join("\n"));
+}
+
+#[test]
+fn a_frozen_owner_has_no_right_when_it_thaws() {
+    let start = Instant::now();
+    let at = |s: u64| start + Duration::from_secs(s);
+    let mut owners = Owners::new(vm(0), LEASE, start);
+    let mut rights = Vec::new();
+    for second in 0..10 {
+        owners.look(at(second), sight(&[0], Some(at(second))));
+    }
+    rights.push(owners.right(at(10), &server(1)));
+    rights.push(owners.right(at(70), &server(1)));
+    owners.look(at(70), sight(&[0], Some(at(70))));
+    rights.push(owners.right(at(70), &server(1)));
+    let waits = matches!(rights[2], Right::From(from) if from == at(76));
+    assert!(waits, "{rights:?}");
+    assert_eq!(rights[..2], [Right::Owner, Right::Lapsed]);
+}
+
+proptest! {
+    /// Each VM dies, comes back or is cut off at any time; the others hold it
+    /// dead no earlier than the probes allow, and late by up to a second.
+    /// No two hold the right to one server, but for a VM that went on alone.
+    #[test]
+    fn at_most_one_holds_the_right(
+        cuts in prop::collection::vec((0usize..3, 1u64..40, 1u64..20), 0..6),
+        lags in prop::collection::vec(0u64..10, 3),
+    ) {
+        let start = Instant::now();
+        let mut owners: Vec<Owners> = (0..3).map(|i| Owners::new(vm(i), LEASE, start)).collect();
+        for step in 0u64..600 {
+            let now = start + Duration::from_millis(step * 100);
+            let cut_since = |vm: usize, at: u64| {
+                let cut = |c: &&(usize, u64, u64)| {
+                    c.0 == vm && (c.1 * 10..(c.1 + c.2) * 10).contains(&at)
+                };
+                cuts.iter().filter(cut).map(|c| at - c.1 * 10).max()
+            };
+            for (index, owner) in owners.iter_mut().enumerate() {
+                let late = step.saturating_sub(lags[index]);
+                let detection = u64::try_from(DETECTION.as_millis()).expect("small") / 100;
+                let out = |vm: usize| cut_since(vm, late).is_some_and(|since| since >= detection);
+                let alone = cut_since(index, step);
+                let live: Vec<usize> = (0..3)
+                    .filter(|vm| {
+                        *vm == index || !(out(*vm) || alone.is_some_and(|s| s >= detection))
+                    })
+                    .collect();
+                let heard_at = now - Duration::from_millis(alone.unwrap_or(0) * 100);
+                owner.look(now, sight(&live, Some(heard_at)));
+            }
+            for server in (0..6).map(server) {
+                let holders = owners
+                    .iter_mut()
+                    .filter_map(|o| (o.right(now, &server) == Right::Owner).then_some(()))
+                    .count();
+                prop_assert!(holders <= 1, "{holders} hold {server} at step {step}");
+            }
+        }
+    }
+}
