--- a/crates/pick/src/fleet.rs
+++ b/crates/pick/src/fleet.rs
@@ -155,6 +155,22 @@
         })
     }
 
+    /// Whether work of a class without history would get a slot now.
+    #[must_use]
+    pub fn fits(&self, now: Instant, service: &str, class: Class) -> bool {
+        self.groups
+            .get(service)
+            .is_some_and(|group| group.has_room(now, &self.settings, class))
+    }
+
+    /// Whether some server of the service takes new work, full or not.
+    #[must_use]
+    pub fn serves(&self, now: Instant, service: &str) -> bool {
+        self.groups
+            .get(service)
+            .is_some_and(|group| group.servers.iter().any(|s| s.serves(now)))
+    }
+
     /// Gives a slot back with the outcome of its work.
     pub fn done(&mut self, now: Instant, ticket: Ticket, outcome: Outcome) {
         let Ticket {
@@ -242,6 +258,16 @@
         (count > 0.0).then(|| sum_s / count)
     }
 
+    /// Servers with a live lease, by name.
+    #[must_use]
+    pub fn live(&self, now: Instant) -> Vec<BackendServer> {
+        let servers = self.groups.values().flat_map(|g| &g.servers);
+        let live = servers.filter(|s| now < s.lease_until);
+        let mut rows: Vec<_> = live.map(|s| s.info.clone()).collect();
+        rows.sort_by(|a, b| a.name.cmp(&b.name));
+        rows
+    }
+
     /// Every server with a lease or work, by service and name.
     #[must_use]
     pub fn view(&self, now: Instant) -> Vec<(ServiceName, ServerView)> {
