Put membership, steering and dissemination into the entry role

Cause: look-ups named every entry VM known by a full mesh; configuration was pulled four times a second by every VM from every control replica, which is 2,720 calls a second for each replica at 680 nodes.

Ruled out: pushing the configuration from control (a cut VM would still have to ask); serving before the first pull (a restarted VM without a disk would go back to version 0 for its callers).

Before: mesh of announcements, polls by all, SIGTERM left at once. After: members over peers messages; look-ups answered by steer with live members, drained entry VMs out at once, drained domains by fraction; delegates poll control twice a second and others every 5 s, and whoever hears of a higher version on any message asks its sender; a started VM asks control replicas, seeds and every entry VM heard of before it serves; SIGTERM leaves, waits for the word to spread and for one lifetime of answers, then ends. Links without calls close after 10 s.

Not yet: members report no load, so shifts of services know no capacity and refuse nothing; Site::right names owners but the lease table doesn't ask it, since requests aren't passed on between entry VMs of a domain.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -100,6 +100,8 @@
     pub lease_ms: u64,
     /// Longest time that a shutdown waits for work in flight, milliseconds.
     pub shutdown_ms: u64,
+    /// File with the client blocks; without one, clients are spread by hash.
+    pub blocks: Option<PathBuf>,
     /// How work is limited, queued and handed out.
     pub policy: PolicySettings,
     /// What is logged.
@@ -152,6 +154,7 @@
     let lookup_ttl_ms = top.bounded("lookup_ttl_ms", 2_000, 100, 600_000);
     let lease_ms = top.bounded("lease_ms", 3_000, 300, 60_000);
     let shutdown_ms = top.bounded("shutdown_ms", 30_000, 100, 3_600_000);
+    let blocks = top.may("blocks", "a file's path");
     let policy = top.may_object("policy", |p| Some(policy(p)));
     let log = top.may_object("log", |l| Some(log_settings(l)));
     if let Some(roles) = &roles {
@@ -175,6 +178,7 @@
         lookup_ttl_ms,
         lease_ms,
         shutdown_ms,
+        blocks,
         policy: policy.unwrap_or_default(),
         log: log.unwrap_or_else(default_log),
     })
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -100,12 +100,14 @@
         let text = format!("no service {:?}", query.service);
         return Err(Error::new(Kind::NoSuchService, text).into());
     }
-    let mut entries = state.members.lock().live(Instant::now());
-    entries.retain(|vm| !in_force.config.drains_entry(&vm.name, &vm.place));
-    entries.sort_by_key(|vm| vm.place != state.me.place);
+    let from = request.request.remote_addr().ip();
+    let client = query.client.unwrap_or(from);
+    let lookups = state.site.lookups();
+    let answer = lookups.lookup(client, &query.service);
+    let (entries, ttl_ms) = answer.map_or((Vec::new(), 0), |a| (a.entries, a.ttl_ms));
     Ok(HttpResponseOk(Lookup {
-        entries,
-        ttl_ms: state.times.lookup_ttl_ms,
+        entries: entries.iter().map(|vm| vm.as_ref().clone()).collect(),
+        ttl_ms,
         config_version: in_force.config.version,
     }))
 }
@@ -127,14 +129,13 @@
         return Err(Error::new(Kind::BadRequest, text).into());
     }
     let now = Instant::now();
-    let entries = state.members.lock().live(now);
+    let neighbours = state.site.neighbours();
     let length = ms(state.times.lease_ms);
     state.leases.lock().announce(now, server, length);
-    let neighbours = entries.iter().filter(|vm| vm.place == state.me.place);
     Ok(HttpResponseOk(Granted {
         lease_ms: state.times.lease_ms,
         config_version: state.version(),
-        desks: neighbours.map(|vm| vm.desk_addr).collect(),
+        desks: neighbours.iter().map(|vm| vm.desk_addr).collect(),
     }))
 }
 
@@ -143,11 +144,11 @@
 async fn get_status(request: RequestContext<Context>) -> Result<HttpResponseOk<Status>, Refusal> {
     let state = request.context().state()?;
     let now = Instant::now();
-    let live = state.members.lock().live(now);
+    let entries = state.site.entries(now);
     Ok(HttpResponseOk(Status {
         name: state.me.name.clone(),
         config_version: state.version(),
-        entries: live,
+        entries: entries.iter().map(|vm| vm.as_ref().clone()).collect(),
         servers: state.leases.lock().live(now),
     }))
 }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -5,17 +5,22 @@
 use bytes::Bytes;
 use peers::Serve;
 use tokio::time::Instant;
-use wire::body::{ConfigAsk, ConfigGive, Members};
+use wire::body::{ConfigAsk, ConfigGive};
 use wire::{Body, Refusal};
-use world::{EntryVm, Error, Kind, MachineName};
+use world::{Error, Kind, MachineName};
 
+use crate::gossip;
 use crate::state::State;
 
 impl Serve for State {
     async fn serve(self: &Arc<Self>, _from: &MachineName, body: Body) -> Option<Body> {
         let answer = match body {
             Body::ConfigAsk(ask) => Ok(self.give(&ask)),
-            Body::Members(members) => self.members_heard(&members),
+            Body::Members(members) => match gossip::answer(self, &members).await {
+                Ok(None) => return None,
+                Ok(Some(body)) => Ok(body),
+                Err(error) => Err(error),
+            },
             _ => Err(Error::new(
                 Kind::BadRequest,
                 "not a message for an entry VM",
@@ -28,7 +33,12 @@
         self.version()
     }
 
-    fn heard_version(&self, _from: &MachineName, _version: u64) {}
+    fn heard_version(&self, from: &MachineName, version: u64) {
+        self.ahead.hear(from, version, self.version());
+        if *from != self.me.name {
+            self.site.members.lock().heard(Instant::now());
+        }
+    }
 }
 
 impl State {
@@ -46,30 +56,4 @@
             config_json,
         })
     }
-
-    fn members_heard(&self, members: &Members) -> Result<Body, Error> {
-        let vms: Vec<EntryVm> = serde_json::from_slice(&members.payload)
-            .map_err(|error| Error::new(Kind::BadRequest, error.to_string()))?;
-        let now = Instant::now();
-        let mut table = self.members.lock();
-        for vm in vms {
-            table.heard(now, vm);
-        }
-        drop(table);
-        Ok(self.members_body())
-    }
-
-    /// This VM as a message to others.
-    #[must_use]
-    pub fn members_body(&self) -> Body {
-        let payload = serde_json::to_vec(&[&self.me]).unwrap_or_default().into();
-        Body::Members(Members { payload })
-    }
-
-    /// Takes in another VM's answer about itself.
-    pub fn members_answer(&self, body: &Body) {
-        if let Body::Members(members) = body {
-            let _ = self.members_heard(members);
-        }
-    }
 }
--- /dev/null
+++ b/crates/entry/src/site.rs
@@ -0,0 +1,140 @@
+//! The site as this entry VM sees it: members, look-ups and owners.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
+
+use conf::Settings;
+use peers::Links;
+use peers::members::{Members, PlaceKey};
+use peers::owner::{Owners, Right, Sight};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use steer::Blocks;
+use tokio::time::Instant;
+use world::unit::ms;
+use world::{Config, Drain, EntryVm, Place, Rank, Ranked, ServerName};
+
+use crate::state::State;
+use crate::steering::{DomainSight, Steering};
+
+/// Incarnation of every start; members that remember more raise it.
+const FIRST_INCARNATION: u64 = 1;
+
+/// Members, look-ups and owners.
+pub struct Site {
+    /// Members of the site.
+    pub members: Ranked<Members>,
+    steering: Ranked<Steering>,
+    lookups: Ranked<Arc<steer::Steer>>,
+    owners: Ranked<Owners>,
+    links: OnceLock<Arc<Links<State>>>,
+    seen_revision: AtomicU64,
+}
+
+impl Site {
+    /// The site as `settings` describe it, seen from this VM alone.
+    #[must_use]
+    pub fn new(me: &EntryVm, settings: &Settings, blocks: Blocks, now: Instant) -> Self {
+        let rng = StdRng::seed_from_u64(rand::random());
+        let seeds = settings.seeds.clone();
+        let members = Members::new(Arc::new(me.clone()), FIRST_INCARNATION, seeds, rng);
+        let steering = Steering::new(
+            &settings.zones,
+            Arc::new(blocks),
+            settings.lookup_ttl_ms,
+            now,
+        );
+        let owners = Owners::new(me.name.clone(), ms(settings.lease_ms), now);
+        let site = Self {
+            lookups: Ranked::new(Rank::Steering, Arc::new(steering.at_home(members.live()))),
+            members: Ranked::new(Rank::Members, members),
+            steering: Ranked::new(Rank::Steering, steering),
+            owners: Ranked::new(Rank::Members, owners),
+            links: OnceLock::new(),
+            seen_revision: AtomicU64::new(0),
+        };
+        site.look(now, me, &Config::default());
+        site
+    }
+
+    /// Sets the links to other processes, once, at the start.
+    pub fn set_links(&self, links: Arc<Links<State>>) {
+        let _ = self.links.set(links);
+    }
+
+    /// Links to other processes; `None` while the role is starting.
+    #[must_use]
+    pub fn links(&self) -> Option<&Arc<Links<State>>> {
+        self.links.get()
+    }
+
+    /// What look-ups are answered from now.
+    #[must_use]
+    pub fn lookups(&self) -> Arc<steer::Steer> {
+        Arc::clone(&self.lookups.lock())
+    }
+
+    /// Entry VMs of the whole site, by name.
+    #[must_use]
+    pub fn entries(&self, now: Instant) -> Vec<Arc<EntryVm>> {
+        let mut entries = self.members.lock().site(now);
+        entries.sort_by(|a, b| a.name.cmp(&b.name));
+        entries
+    }
+
+    /// Entry VMs of the own failure domain, by name.
+    #[must_use]
+    pub fn neighbours(&self) -> Vec<Arc<EntryVm>> {
+        self.members.lock().live()
+    }
+
+    /// Whether this VM may send work to a backend server of its domain now.
+    #[must_use]
+    pub fn right(&self, now: Instant, server: &ServerName) -> Right {
+        self.owners.lock().right(now, server)
+    }
+
+    /// As [`Self::look`], when a member may have come or gone since.
+    pub fn look_if_changed(&self, now: Instant, me: &EntryVm, config: &Config) {
+        let revision = self.members.lock().revision();
+        if self.seen_revision.swap(revision, Ordering::Relaxed) != revision {
+            self.look(now, me, config);
+        }
+    }
+
+    /// Takes what the members say now into owners and look-ups.
+    pub fn look(&self, now: Instant, me: &EntryVm, config: &Config) {
+        let (sight, mut entries, domains) = {
+            let members = self.members.lock();
+            (
+                sight(&members),
+                members.site(now),
+                domains(&members, &me.place, now),
+            )
+        };
+        self.owners.lock().look(now, sight);
+        let drained = |vm: &EntryVm| config.drains.contains(&Drain::Entry(vm.name.clone()));
+        entries.retain(|vm| !drained(vm));
+        let lookups = self.steering.lock().step(now, entries, &domains, config);
+        *self.lookups.lock() = Arc::new(lookups);
+    }
+}
+
+fn sight(members: &Members) -> Sight {
+    let left = peers::members::Standing::Left;
+    Sight {
+        live: members.live().iter().map(|vm| vm.name.clone()).collect(),
+        others: members.records().any(|record| record.standing != left),
+        heard_at: members.heard_at(),
+    }
+}
+
+fn domains(members: &Members, here: &Place, now: Instant) -> Vec<DomainSight> {
+    let here = PlaceKey::of(here);
+    let sight = |(place, fresh): (PlaceKey, bool)| DomainSight {
+        place,
+        reached: fresh || place == here,
+        report: members.domains().load(place).cloned().unwrap_or_default(),
+    };
+    members.places(now).into_iter().map(sight).collect()
+}
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -1,5 +1,6 @@
 //! Start and end of the entry role.
 
+use std::fs;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,23 +9,27 @@
 use conf::{Addrs, Settings};
 use dropshot::HttpServer;
 use peers::{Identity, Links, accept};
+use steer::{Blocks, Places};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, timeout};
 use world::EntryVm;
 use world::unit::ms;
 
 use crate::booking::Bookings;
 use crate::desk::{Context, api};
 use crate::front;
-use crate::pull::{pull_config, tell_members};
+use crate::gossip::{self, LEAVE_SPREAD, keep_members};
+use crate::pull::{pull_config, pull_first};
+use crate::site::Site;
 use crate::state::{State, Times};
 
 /// A running entry role.
 pub struct Entry {
     /// Addresses that it listens on.
     pub addrs: Addrs,
+    state: Arc<State>,
     desk: HttpServer<Context>,
     leaving: watch::Sender<bool>,
     front: JoinHandle<()>,
@@ -47,31 +52,33 @@
         desk: desk.local_addr(),
         link: link_listener.local_addr()?,
     };
-    let state = Arc::new(State::new(
-        myself(settings, addrs),
-        settings.secret.clone(),
-        times(settings),
-    ));
-    let _ = desk.app_private().state.set(Arc::clone(&state));
+    let me = myself(settings, addrs);
+    let site = Site::new(&me, settings, blocks(settings)?, Instant::now());
+    let secret = settings.secret.clone();
+    let state = Arc::new(State::new(me, secret, times(settings), site));
     let identity = Identity::new(settings.name.clone(), settings.secret.clone());
     let links = Arc::new(Links::new(identity.clone(), Arc::clone(&state)));
     let replicas = settings.control.iter().map(|c| c.link).collect();
     let bookings = Arc::new(Bookings::new(Arc::clone(&links), replicas));
     state.set_bookings(Arc::clone(&bookings));
     let (leaving, left) = watch::channel(false);
-    let sources = settings.control.iter().map(|c| c.link).collect();
-    let tasks = vec![
+    let sources: Vec<SocketAddr> = settings.control.iter().map(|c| c.link).collect();
+    state.site.set_links(Arc::clone(&links));
+    let mut tasks = vec![
         tokio::spawn(accept(link_listener, identity, Arc::clone(&state))),
-        tokio::spawn(pull_config(Arc::clone(&state), Arc::clone(&links), sources)),
-        tokio::spawn(tell_members(
-            Arc::clone(&state),
-            links,
-            settings.seeds.clone(),
-        )),
+        tokio::spawn(keep_members(Arc::clone(&state))),
     ];
-    let front = tokio::spawn(front::serve(front_listener, state, left));
+    pull_first(&state, &links, &sources, &settings.seeds).await;
+    tasks.push(tokio::spawn(pull_config(
+        Arc::clone(&state),
+        links,
+        sources,
+    )));
+    let _ = desk.app_private().state.set(Arc::clone(&state));
+    let front = tokio::spawn(front::serve(front_listener, Arc::clone(&state), left));
     Ok(Entry {
         addrs,
+        state,
         desk,
         leaving,
         front,
@@ -82,8 +89,13 @@
 }
 
 impl Entry {
-    /// Takes nothing new, ends what was accepted, then stops.
+    /// Drops out of look-ups and hands its backend servers over, serves on
+    /// until answers that name it have expired, ends what was accepted, stops.
     pub async fn stop(self) {
+        gossip::leave(&self.state);
+        let alone = self.state.site.entries(Instant::now()).is_empty();
+        let spread = if alone { Duration::ZERO } else { LEAVE_SPREAD };
+        sleep(spread + ms(self.state.times.lookup_ttl_ms)).await;
         self.leaving.send_replace(true);
         let _ = self.front.await;
         if timeout(self.shutdown, self.bookings.idle()).await.is_err() {
@@ -98,6 +110,16 @@
     }
 }
 
+fn blocks(settings: &Settings) -> Result<Blocks> {
+    let Some(path) = &settings.blocks else {
+        return Ok(Blocks::default());
+    };
+    let file = path.display().to_string();
+    let text = fs::read_to_string(path).with_context(|| format!("could not open {file}"))?;
+    let lists = conf::parse_blocks(&file, &text)?;
+    Ok(Blocks::new(&Places::new(&settings.zones), &lists)?)
+}
+
 async fn bind(addr: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(addr)
         .await
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -5,9 +5,10 @@
 use tokio::sync::watch;
 use world::{Book, Config, EntryVm, Error, Kind, Rank, Ranked, Secret};
 
+use crate::ahead::Ahead;
 use crate::booking::Bookings;
 use crate::leases::Leases;
-use crate::members::Members;
+use crate::site::Site;
 
 /// A configuration and the book made from it.
 #[derive(Debug, Default)]
@@ -37,8 +38,10 @@
     pub secret: Secret,
     /// Limits of time.
     pub times: Times,
-    /// Entry VMs known.
-    pub members: Ranked<Members>,
+    /// Members, look-ups and owners.
+    pub site: Site,
+    /// Word of a newer configuration elsewhere.
+    pub ahead: Ahead,
     /// Backend servers of the failure domain.
     pub leases: Ranked<Leases>,
     bookings: OnceLock<Arc<Bookings>>,
@@ -49,9 +52,10 @@
 impl State {
     /// Empty tables for this machine.
     #[must_use]
-    pub fn new(me: EntryVm, secret: Secret, times: Times) -> Self {
+    pub fn new(me: EntryVm, secret: Secret, times: Times, site: Site) -> Self {
         Self {
-            members: Ranked::new(Rank::Members, Members::new(me.clone())),
+            site,
+            ahead: Ahead::default(),
             leases: Ranked::new(Rank::Fleet, Leases::default()),
             bookings: OnceLock::new(),
             in_force: Ranked::new(Rank::Config, Arc::default()),
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -22,6 +22,9 @@
 /// A link that was silent for so long is replaced: two heartbeats missed.
 pub const SILENCE: Duration = Duration::from_millis(1_250);
 
+/// A link that carried no call for so long is closed; the next call opens it.
+pub const IDLE: Duration = Duration::from_secs(10);
+
 /// Bound on opening a connection, both proofs included.
 pub const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
 
--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -23,7 +23,7 @@
 
 use crate::hello::{Identity, Stream};
 use crate::serve::Serve;
-use crate::{HEARTBEAT, OPEN_TIMEOUT, SEND_QUEUE, SILENCE};
+use crate::{HEARTBEAT, IDLE, OPEN_TIMEOUT, SEND_QUEUE, SILENCE};
 
 /// Why a call has no reply.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -191,13 +191,18 @@
         let mut beat = interval(HEARTBEAT);
         beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut silent_at = Instant::now() + SILENCE;
+        let mut used_at = Instant::now();
         loop {
             tokio::select! {
                 envelope = queue.recv() => {
                     let Some(envelope) = envelope else { return Ok(()) };
+                    used_at = Instant::now();
                     timeout(SILENCE, sink.send(envelope)).await??;
                 }
                 _ = beat.tick() => {
+                    if used_at.elapsed() >= IDLE && self.close_if_idle(&mut queue) {
+                        return Ok(());
+                    }
                     let ping = self.envelope(0, Body::Ping(Ping {}));
                     timeout(SILENCE, sink.send(ping)).await??;
                 }
@@ -210,6 +215,18 @@
         }
     }
 
+    /// Closes the link to further messages unless one waits to be sent or a
+    /// reply is due.
+    fn close_if_idle(&self, queue: &mut mpsc::Receiver<Envelope>) -> bool {
+        let mut open = self.open.lock();
+        if !queue.is_empty() || !open.waiting.is_empty() {
+            return false;
+        }
+        open.sender = None;
+        queue.close();
+        true
+    }
+
     fn arrived(&self, envelope: Envelope) {
         if let Some(peer) = self.peer() {
             self.serve.heard_version(&peer, envelope.config_version);
--- a/crates/peers/src/members/domains.rs
+++ b/crates/peers/src/members/domains.rs
@@ -168,6 +168,11 @@
         self.table.get(&place).map_or(&[], |s| &s.roster.vms)
     }
 
+    /// Entry VMs of every domain.
+    pub fn rosters(&self) -> impl Iterator<Item = &[Arc<EntryVm>]> {
+        self.table.values().map(|s| s.roster.vms.as_slice())
+    }
+
     /// Load of a domain as last reported.
     #[must_use]
     pub fn load(&self, place: PlaceKey) -> Option<&Report> {
--- a/crates/peers/src/members/merge.rs
+++ b/crates/peers/src/members/merge.rs
@@ -3,6 +3,7 @@
 use tokio::time::Instant;
 use world::MachineName;
 
+use crate::members::domains::Update;
 use crate::members::message::{Gossip, Message, Reply};
 use crate::members::record::{Record, Standing};
 use crate::members::table::{Entry, Members};
@@ -66,7 +67,10 @@
             entry.heard_at = Some(now);
         }
         for update in &gossip.updates {
-            self.domains.take(now, update);
+            let newer = self.domains.take(now, update);
+            if newer && matches!(update, Update::Roster(_)) {
+                self.revision += 1;
+            }
         }
     }
 
@@ -98,6 +102,7 @@
             heard_at,
         };
         self.table.insert(name.clone(), entry);
+        self.revision += 1;
         let members = self.table.len() + 1;
         self.news.push(&name, members);
     }
--- a/crates/peers/src/members/probe.rs
+++ b/crates/peers/src/members/probe.rs
@@ -229,7 +229,9 @@
         }
     }
 
-    fn is_delegate(&self) -> bool {
+    /// Whether this VM is one of its domain's delegates.
+    #[must_use]
+    pub fn is_delegate(&self) -> bool {
         let order = ring::order(&self.names());
         let rank = order.iter().position(|name| *name == self.me.vm.name);
         rank.is_some_and(|rank| rank < DELEGATES)
--- a/crates/peers/src/members/table.rs
+++ b/crates/peers/src/members/table.rs
@@ -62,6 +62,7 @@
     reported_at: Option<Instant>,
     roster_step: u64,
     pub(crate) reconnected_at: Option<Instant>,
+    pub(crate) revision: u64,
 }
 
 impl Members {
@@ -96,6 +97,7 @@
             reported_at: None,
             roster_step: 1 + xxh3_64(mine.to_string().as_bytes()) % ROSTER_STEP_MAX,
             reconnected_at: None,
+            revision: 0,
         }
     }
 
@@ -169,6 +171,29 @@
         self.heard_at
     }
 
+    /// Number that grows whenever a member of the site may have come or gone.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Notes that another process was heard of by any message.
+    pub fn heard(&mut self, now: Instant) {
+        self.heard_at = Some(now);
+    }
+
+    /// Address of a member of the site for the system's own processes.
+    #[must_use]
+    pub fn link_addr(&self, name: &MachineName) -> Option<SocketAddr> {
+        if let Some(entry) = self.table.get(name) {
+            return Some(entry.record.vm.link_addr);
+        }
+        let vms = self.domains.rosters().flatten();
+        vms.filter(|vm| vm.name == *name)
+            .map(|vm| vm.link_addr)
+            .next()
+    }
+
     /// Announces that this VM leaves: tells its partners at once.
     pub fn leave(&mut self) -> Vec<Action> {
         self.me.standing = Standing::Left;
--- a/crates/steer/src/lookup.rs
+++ b/crates/steer/src/lookup.rs
@@ -107,21 +107,25 @@
         let plan = self.plans.get(service).unwrap_or(&self.at_home);
         let mut entries = Vec::with_capacity(ENTRIES_MAX);
         let mut place = None;
-        for next in self.ranked_places(key, home, plan) {
+        let ranked = self.ranked_places(key, home, plan);
+        for next in &ranked {
             let most = if entries.is_empty() {
                 FIRST_PLACE_MAX
             } else {
                 1
             };
-            let room = most.min(ENTRIES_MAX - entries.len());
-            self.push_entries(key, next, room, &mut entries);
+            self.push_entries(key, *next, most, &mut entries);
             if !entries.is_empty() {
-                place.get_or_insert(next);
+                place.get_or_insert(*next);
             }
             if entries.len() == ENTRIES_MAX {
                 break;
             }
         }
+        // A small site has more entry VMs than places: the rest fill up.
+        for next in &ranked {
+            self.push_entries(key, *next, ENTRIES_MAX, &mut entries);
+        }
         Some(Answer {
             entries,
             ttl_ms: self.ttl_ms(key),
@@ -159,15 +163,14 @@
     }
 
     fn push_entries(&self, key: u64, place: PlaceId, most: usize, out: &mut Vec<Arc<EntryVm>>) {
-        let mut taken: [Option<usize>; FIRST_PLACE_MAX] = [None; FIRST_PLACE_MAX];
-        let entries = &self.entries[place.index()];
-        for slot in 0..most {
-            let next = (0..entries.len())
-                .filter(|at| !taken.contains(&Some(*at)))
-                .max_by_key(|at| hash::mix(key, entries[*at].hash, Purpose::Entry));
-            let Some(at) = next else { return };
-            taken[slot] = Some(at);
-            out.push(Arc::clone(&entries[at].vm));
+        let most = most.min(ENTRIES_MAX - out.len());
+        for _ in 0..most {
+            let next = self.entries[place.index()]
+                .iter()
+                .filter(|entry| !out.iter().any(|vm| Arc::ptr_eq(vm, &entry.vm)))
+                .max_by_key(|entry| hash::mix(key, entry.hash, Purpose::Entry));
+            let Some(entry) = next else { return };
+            out.push(Arc::clone(&entry.vm));
         }
     }
 
--- a/crates/world/src/lock.rs
+++ b/crates/world/src/lock.rs
@@ -16,6 +16,8 @@
     Config,
     /// Members of the site and their liveness.
     Members,
+    /// Look-ups and shifts.
+    Steering,
     /// Links between processes.
     Links,
     /// Replicated log and its state machine.
