--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -111,6 +111,9 @@
 /// Settings of the decisions; each has a baseline to measure it beside.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct PolicySettings {
+    /// Whether only the owner of a backend server sends work to it; off, every
+    /// entry VM of the failure domain counts all its slots.
+    pub one_owner: bool,
     /// How a backend server is chosen among those with a free slot.
     pub choice: Policy,
     /// The table of backend servers.
@@ -287,6 +290,7 @@
         "choice",
         "\"least_cost\", \"two_choices\" or \"round_robin\"",
     );
+    let one_owner = fields.may("one_owner", "true or false");
     let fleet = fields.may("fleet", "settings of the table of backend servers");
     let hedge = fields.may("hedge", "settings of hedging");
     let retry = fields.may("retry", "settings of a budget");
@@ -295,6 +299,7 @@
     let queue = fields.may("queue", "settings of queues");
     let credits = fields.may("credits", "settings of credits");
     PolicySettings {
+        one_owner: one_owner.unwrap_or_default(),
         choice: choice.unwrap_or_default(),
         fleet: fleet.unwrap_or_default(),
         hedge: hedge.unwrap_or_default(),
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use peers::members::encode::{decode, encode};
-use peers::members::{Action, Message, Reply, Report, Timing};
+use peers::members::{Action, Message, Reply, Timing};
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 use wire::Body;
 use wire::body::Members;
@@ -22,16 +22,14 @@
     loop {
         beat.tick().await;
         let now = Instant::now();
+        let load = state.load(now);
         let actions = {
             let mut members = state.site.members.lock();
-            members.set_load(Report {
-                members: 1,
-                config_version_min: state.version(),
-                ..Report::default()
-            });
+            members.set_load(load);
             members.tick(now)
         };
         state.site.look(now, &state.me, &state.in_force().config);
+        state.own_all(now);
         send_all(&state, actions);
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,21 +5,33 @@
 
 pub mod ahead;
 pub mod answer;
+pub mod arrival;
 pub mod ask;
-pub mod back;
+pub mod attempt;
 pub mod body;
 pub mod booking;
+pub mod credits;
+pub mod crossing;
 pub mod desk;
+pub mod flow;
 pub mod front;
+pub mod gate;
 pub mod gossip;
-pub mod leases;
+pub mod headers;
+pub mod metrics;
 pub mod path;
+pub mod place;
+pub mod pool;
 pub mod pull;
 pub mod serve;
 pub mod site;
+pub mod slot;
 pub mod start;
 pub mod state;
 pub mod steering;
+pub mod tend;
+pub mod traffic;
+pub mod tries;
 
 pub use start::{Entry, start};
 pub use state::State;
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -9,13 +9,15 @@
 use wire::{Body, Refusal};
 use world::{Error, Kind, MachineName};
 
+use crate::crossing::give;
 use crate::gossip;
 use crate::state::State;
 
 impl Serve for State {
-    async fn serve(self: &Arc<Self>, _from: &MachineName, body: Body) -> Option<Body> {
+    async fn serve(self: &Arc<Self>, from: &MachineName, body: Body) -> Option<Body> {
         let answer = match body {
             Body::ConfigAsk(ask) => Ok(self.give(&ask)),
+            Body::CreditAsk(ask) => Ok(Body::CreditGive(give(&self.gate, from, &ask))),
             Body::Members(members) => match gossip::answer(self, &members).await {
                 Ok(None) => return None,
                 Ok(Some(body)) => Ok(body),
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use anyhow::{Context as _, Result};
-use conf::{Addrs, Settings};
+use conf::{Addrs, PolicySettings, Settings};
 use dropshot::HttpServer;
 use peers::{Identity, Links, accept};
 use steer::{Blocks, Places};
@@ -18,12 +18,14 @@
 use world::unit::ms;
 
 use crate::booking::Bookings;
+use crate::crossing::Crossing;
 use crate::desk::{Context, api};
 use crate::front;
 use crate::gossip::{self, LEAVE_SPREAD, keep_members};
 use crate::pull::{pull_config, pull_first};
 use crate::site::Site;
 use crate::state::{State, Times};
+use crate::tend::tend;
 
 /// A running entry role.
 pub struct Entry {
@@ -55,9 +57,14 @@
     let me = myself(settings, addrs);
     let site = Site::new(&me, settings, blocks(settings)?, Instant::now());
     let secret = settings.secret.clone();
-    let state = Arc::new(State::new(me, secret, times(settings), site));
+    let policy = policy(settings);
+    let state = State::new(me, secret, times(settings), &policy, site)?;
+    let state = Arc::new(state);
     let identity = Identity::new(settings.name.clone(), settings.secret.clone());
     let links = Arc::new(Links::new(identity.clone(), Arc::clone(&state)));
+    if settings.policy.credits.enabled {
+        state.set_crossing(Crossing::new(Arc::clone(&links)));
+    }
     let replicas = settings.control.iter().map(|c| c.link).collect();
     let bookings = Arc::new(Bookings::new(Arc::clone(&links), replicas));
     state.set_bookings(Arc::clone(&bookings));
@@ -65,6 +72,7 @@
     let sources: Vec<SocketAddr> = settings.control.iter().map(|c| c.link).collect();
     state.site.set_links(Arc::clone(&links));
     let mut tasks = vec![
+        tokio::spawn(tend(Arc::clone(&state))),
         tokio::spawn(accept(link_listener, identity, Arc::clone(&state))),
         tokio::spawn(keep_members(Arc::clone(&state))),
     ];
@@ -137,6 +145,13 @@
     }
 }
 
+/// The policy; the length of a lease is set once for all.
+fn policy(settings: &Settings) -> PolicySettings {
+    let mut policy = settings.policy.clone();
+    policy.fleet.lease_ms = settings.lease_ms;
+    policy
+}
+
 fn times(settings: &Settings) -> Times {
     Times {
         lookup_ttl_ms: settings.lookup_ttl_ms,
