--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -123,11 +123,18 @@
         self.poison.lock().check(now, fingerprint).alone()
     }
 
-    /// Grants or renews a backend server's lease.
-    pub fn announce(self: &Arc<Self>, now: Instant, server: &BackendServer, config: &Config) {
+    /// Grants or renews a backend server's lease; this VM owns it from `owned_from` on.
+    pub fn announce(
+        self: &Arc<Self>,
+        now: Instant,
+        server: &BackendServer,
+        owned_from: Option<Instant>,
+        config: &Config,
+    ) {
         let crashes = {
             let mut fleet = self.fleet.table().lock();
             fleet.announce(now, server);
+            fleet.set_owned(&server.service, &server.name, owned_from);
             fleet.apply_drains(config);
             fleet.expire(now);
             fleet.take_crashes()
--- a/crates/entry/src/notices.rs
+++ b/crates/entry/src/notices.rs
@@ -48,8 +48,8 @@
     gate.merge_marks(now, &marks);
 }
 
-fn others(state: &State, now: Instant) -> Vec<EntryVm> {
-    let mut others = state.members.lock().live(now);
+fn others(state: &State, now: Instant) -> Vec<Arc<EntryVm>> {
+    let mut others = state.site.entries(now);
     others.retain(|vm| vm.name != state.me.name);
     others
 }
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -1,5 +1,6 @@
 //! The path of a request through an entry VM.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -83,6 +84,7 @@
     labels: &mut Labels,
 ) -> Result<Response<AnswerBody>, Error> {
     known(in_force)?;
+    let client = request.extensions().get::<IpAddr>().copied();
     let ask = Ask::read(request).await?;
     let contract = in_force.book.contract(&ask.key, &ask.service)?;
     *labels = Labels::of(&contract);
@@ -92,6 +94,9 @@
         let answered = arrival.run(state, &ask, &contract, &work, deadline).await?;
         return Ok(passed_on(answered, None));
     }
+    if let Some(client) = client {
+        state.arrived(client, &contract)?;
+    }
     let admitted = state.gate.pass(Instant::now(), &contract);
     if booking::concerns(&ask, &contract) {
         let exchange = Exchange::new(state, ask, contract, work, admitted, id);
--- /dev/null
+++ b/crates/entry/src/traffic.rs
@@ -0,0 +1,127 @@
+//! What arrives here, by service, home and priority, and what could be taken.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::time::Duration;
+
+use peers::members::{HomeDemand, PlaceKey, Report, ServiceLoad};
+use steer::PlaceId;
+use tokio::time::Instant;
+use world::{Contract, Error, Kind, Rank, Ranked, Service, ServiceName};
+
+use crate::state::State;
+
+/// Time over which arrivals are counted.
+const COUNT_OVER: Duration = Duration::from_secs(3);
+
+/// Latency that is reckoned with before any is known, seconds.
+const LATENCY_S: f64 = 0.1;
+
+type Key = (ServiceName, PlaceId, u8);
+
+/// Counters of arrivals.
+pub struct Traffic {
+    counts: Ranked<Counts>,
+}
+
+struct Counts {
+    since: Instant,
+    arrivals: HashMap<Key, u32>,
+    rates_per_s: HashMap<Key, f64>,
+}
+
+impl Traffic {
+    /// Counters from `now` on.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        let counts = Counts {
+            since: now,
+            arrivals: HashMap::new(),
+            rates_per_s: HashMap::new(),
+        };
+        Self {
+            counts: Ranked::new(Rank::Stats, counts),
+        }
+    }
+
+    fn count(&self, key: Key) {
+        *self.counts.lock().arrivals.entry(key).or_default() += 1;
+    }
+
+    /// Rates of the last full span.
+    fn rates(&self, now: Instant) -> HashMap<Key, f64> {
+        let mut counts = self.counts.lock();
+        let span = now.duration_since(counts.since);
+        if span >= COUNT_OVER {
+            let arrivals = std::mem::take(&mut counts.arrivals);
+            let rate = |count: u32| f64::from(count) / span.as_secs_f64();
+            counts.rates_per_s = arrivals.into_iter().map(|(k, c)| (k, rate(c))).collect();
+            counts.since = now;
+        }
+        counts.rates_per_s.clone()
+    }
+}
+
+impl State {
+    /// Counts a request that a caller sent here.
+    ///
+    /// # Errors
+    /// [`Kind::Overloaded`] when the client is away from its home and the plan
+    /// for its home refuses requests of this priority; it has not run.
+    pub fn arrived(&self, client: IpAddr, contract: &Contract) -> Result<(), Error> {
+        let lookups = self.site.lookups();
+        let Some(home) = lookups.home(client) else {
+            return Ok(());
+        };
+        let service = &contract.service.name;
+        let priority = contract.priority;
+        self.traffic.count((service.clone(), home, priority));
+        let is_away = *lookups.places().place(home) != self.me.place;
+        let request = rand::random();
+        if is_away && lookups.refuses(service.as_str(), client, priority, request) {
+            let text = "the client's home is closed and its traffic doesn't fit elsewhere";
+            return Err(Error::new(Kind::Overloaded, text));
+        }
+        Ok(())
+    }
+
+    /// This VM's report of load.
+    #[must_use]
+    pub fn load(&self, now: Instant) -> Report {
+        let lookups = self.site.lookups();
+        let rates = self.traffic.rates(now);
+        let in_force = self.in_force();
+        let services = in_force.config.lists.services.iter().map(|service| {
+            let demand = rates
+                .iter()
+                .filter(|((name, ..), _)| *name == service.name)
+                .map(|((_, home, priority), rate_per_s)| {
+                    let place = lookups.places().place(*home);
+                    let is_here = *place == self.me.place;
+                    HomeDemand {
+                        home: (!is_here).then(|| PlaceKey::of(place)),
+                        priority: *priority,
+                        rate_per_s: *rate_per_s,
+                    }
+                });
+            ServiceLoad {
+                service: service.name.clone(),
+                capacity_per_s: self.capacity_per_s(now, service),
+                demand: demand.collect(),
+            }
+        });
+        Report {
+            members: 1,
+            config_version_min: self.version(),
+            behind: Vec::new(),
+            services: services.collect(),
+        }
+    }
+
+    fn capacity_per_s(&self, now: Instant, service: &Service) -> f64 {
+        let fleet = self.gate.fleet().table().lock();
+        let (slots, _) = fleet.slots(now, service.name.as_str());
+        let latency_s = fleet.latency_s(service.name.as_str(), service.class);
+        f64::from(slots) / latency_s.filter(|s| *s > 0.0).unwrap_or(LATENCY_S)
+    }
+}
