--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -1,10 +1,11 @@
 //! The gate before the backend servers that this VM owns: who gets which slot, and when.
 //!
-//! Lock order within the gate: queues, then credits, then the fleet.
+//! Lock order within the gate: shares, limits or queues, then credits, then the fleet.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use admit::limit::Seen;
 use admit::queue::{late_error, shed_error};
 use admit::{CreditId, Grant, Limits, Pass, Queue, Waiting};
 use conf::PolicySettings;
@@ -17,15 +18,22 @@
 };
 
 use crate::credits::{Credits, Slots};
+use crate::shares::PlanShares;
 use crate::slot::Slot;
 
 /// Share of each plan limit that this VM starts with.
 const WHOLE_SHARE: f64 = 1.0;
 
-/// What waits for a slot, and how it is told.
+/// Choosy pieces of work that others may pass by at once.
+const PASSED_BY_MAX: usize = 8;
+
+/// How work that waits is told.
+type Reply = oneshot::Sender<Result<Slot, Error>>;
+
+/// What waits for a slot.
 struct Waiter {
     work: Work,
-    reply: oneshot::Sender<Result<Slot, Error>>,
+    reply: Reply,
 }
 
 /// Plan limits, queues, credits and backend servers of one entry VM.
@@ -36,6 +44,7 @@
     credits: Ranked<Credits>,
     fleet: SharedFleet,
     poison: Ranked<Poison>,
+    shares: Ranked<PlanShares>,
 }
 
 impl Gate {
@@ -52,6 +61,7 @@
                 Credits::new(now, region, policy.credits, seed),
             ),
             fleet: SharedFleet::new(fleet),
+            shares: Ranked::new(Rank::Members, PlanShares::new(now)),
             poison: Ranked::new(Rank::Poison, Poison::new(policy.poison)),
             policy,
         }
@@ -87,6 +97,24 @@
         })
     }
 
+    /// Takes in the demand seen since the last call, sets this VM's share of
+    /// each plan limit, and gives what to report to the other VMs.
+    pub fn report_demand(&self, now: Instant, vm_count: u32) -> Vec<Seen> {
+        let seen = self.limits.lock().take_seen(now);
+        let mut shares = self.shares.lock();
+        let reported = shares.report_own(now, seen, vm_count);
+        let mut limits = self.limits.lock();
+        for (customer, service, share) in shares.rows(now) {
+            limits.set_share(now, customer.as_str(), service.as_str(), share);
+        }
+        reported
+    }
+
+    /// Takes in another VM's demand.
+    pub fn heard_demand(&self, now: Instant, vm: &MachineName, seen: &[Seen]) {
+        self.shares.lock().report(now, vm, seen);
+    }
+
     /// Whether the work must run alone.
     ///
     /// # Errors
@@ -95,11 +123,18 @@
         self.poison.lock().check(now, fingerprint).alone()
     }
 
-    /// Grants or renews a backend server's lease.
-    pub fn announce(self: &Arc<Self>, now: Instant, server: &BackendServer, config: &Config) {
+    /// Grants or renews a backend server's lease; this VM owns it from `owned_from` on.
+    pub fn announce(
+        self: &Arc<Self>,
+        now: Instant,
+        server: &BackendServer,
+        owned_from: Option<Instant>,
+        config: &Config,
+    ) {
         let crashes = {
             let mut fleet = self.fleet.table().lock();
             fleet.announce(now, server);
+            fleet.set_owned(&server.service, &server.name, owned_from);
             fleet.apply_drains(config);
             fleet.expire(now);
             fleet.take_crashes()
@@ -312,24 +347,32 @@
     }
 
     /// The next piece of work that gets a slot.
-    fn next(
-        &self,
-        service: &ServiceName,
-    ) -> Option<(oneshot::Sender<Result<Slot, Error>>, Permit)> {
+    ///
+    /// Work that is choosy, as it runs alone or keeps off some servers, may
+    /// find none where others do; it keeps its place and lets them pass.
+    fn next(&self, service: &ServiceName) -> Option<(Reply, Permit)> {
         let now = Instant::now();
         let mut queues = self.queues.lock();
         let queue = queues.get_mut(service)?;
-        loop {
-            let waiting = queue.pop(now, |class| self.fits(now, service, class))?;
+        let mut passed_by = Vec::new();
+        let mut found = None;
+        while passed_by.len() < PASSED_BY_MAX {
+            let Some(waiting) = queue.pop(now, |class| self.fits(now, service, class)) else {
+                break;
+            };
             if waiting.payload.reply.is_closed() || now >= waiting.deadline {
                 continue;
             }
             if let Ok(permit) = self.take(now, service, &waiting.payload.work) {
-                return Some((waiting.payload.reply, permit));
+                found = Some((waiting.payload.reply, permit));
+                break;
             }
+            passed_by.push(waiting);
+        }
+        for waiting in passed_by.into_iter().rev() {
             queue.push_back(waiting);
-            return None;
         }
+        found
     }
 }
 
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -1,5 +1,6 @@
 //! The path of a request through an entry VM.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,14 +10,14 @@
 use pick::{Fingerprint, Work};
 use tokio::time::Instant;
 use world::unit::{as_us, ms};
-use world::{Contract, Error};
+use world::{Contract, Error, Kind};
 
 use crate::answer::refuse;
 use crate::arrival::Arrival;
 use crate::ask::Ask;
 use crate::attempt::Answered;
 use crate::body::{AnswerBody, Stream};
-use crate::booking;
+use crate::booking::{self, Exchange};
 use crate::gate::Admitted;
 use crate::headers;
 use crate::metrics::Labels;
@@ -54,6 +55,19 @@
     response
 }
 
+/// Refuses while no configuration has come here: whom it would take for
+/// unknown may well be known.
+///
+/// # Errors
+/// [`Kind::Leaving`], so that the caller goes to another entry VM at once.
+pub fn known(in_force: &InForce) -> Result<(), Error> {
+    if in_force.config.version > 0 {
+        return Ok(());
+    }
+    let text = "this entry VM is starting and has no configuration yet";
+    Err(Error::new(Kind::Leaving, text))
+}
+
 fn stamp(response: &mut Response<AnswerBody>, in_force: &InForce, id: &str) {
     let stamped = response.headers_mut();
     stamped.insert(headers::CONFIG, in_force.config.version.into());
@@ -69,6 +83,8 @@
     (id, arrival): (&str, Option<Arrival>),
     labels: &mut Labels,
 ) -> Result<Response<AnswerBody>, Error> {
+    known(in_force)?;
+    let client = request.extensions().get::<IpAddr>().copied();
     let ask = Ask::read(request).await?;
     let contract = in_force.book.contract(&ask.key, &ask.service)?;
     *labels = Labels::of(&contract);
@@ -78,12 +94,15 @@
         let answered = arrival.run(state, &ask, &contract, &work, deadline).await?;
         return Ok(passed_on(answered, None));
     }
-    let admitted = state.gate.pass(Instant::now(), &contract)?;
+    if let Some(client) = client {
+        state.arrived(client, &contract)?;
+    }
+    let admitted = state.gate.pass(Instant::now(), &contract);
     if booking::concerns(&ask, &contract) {
-        let bookings = state.bookings()?;
-        let answer = bookings.answer(state, ask, &contract, work, id, deadline);
-        return answer.await;
+        let exchange = Exchange::new(state, ask, contract, work, admitted, id);
+        return state.bookings()?.answer(exchange, deadline).await;
     }
+    let admitted = admitted?;
     let tries = Tries {
         state,
         ask: &ask,
