--- a/crates/entry/src/crossing.rs
+++ b/crates/entry/src/crossing.rs
@@ -173,8 +173,8 @@
 fn owners(state: &State) -> Vec<EntryVm> {
     let in_force = state.in_force();
     let me = &state.me;
-    let mut owners = state.members.lock().live(Instant::now());
+    let mut owners = state.site.entries(Instant::now());
     owners.retain(|vm| vm.name != me.name && !in_force.config.drains_place(&vm.place));
     owners.sort_by_key(|vm| (vm.place.region != me.place.region, vm.place != me.place));
-    owners
+    owners.iter().map(|vm| vm.as_ref().clone()).collect()
 }
