--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -100,6 +100,8 @@
     pub lease_ms: u64,
     /// Longest time that a shutdown waits for work in flight, milliseconds.
     pub shutdown_ms: u64,
+    /// File with the client blocks; without one, clients are spread by hash.
+    pub blocks: Option<PathBuf>,
     /// How work is limited, queued and handed out.
     pub policy: PolicySettings,
     /// What is logged.
@@ -109,6 +111,9 @@
 /// Settings of the decisions; each has a baseline to measure it beside.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct PolicySettings {
+    /// Whether only the owner of a backend server sends work to it; off, every
+    /// entry VM of the failure domain counts all its slots.
+    pub one_owner: bool,
     /// How a backend server is chosen among those with a free slot.
     pub choice: Policy,
     /// The table of backend servers.
@@ -152,6 +157,7 @@
     let lookup_ttl_ms = top.bounded("lookup_ttl_ms", 2_000, 100, 600_000);
     let lease_ms = top.bounded("lease_ms", 3_000, 300, 60_000);
     let shutdown_ms = top.bounded("shutdown_ms", 30_000, 100, 3_600_000);
+    let blocks = top.may("blocks", "a file's path");
     let policy = top.may_object("policy", |p| Some(policy(p)));
     let log = top.may_object("log", |l| Some(log_settings(l)));
     if let Some(roles) = &roles {
@@ -175,6 +181,7 @@
         lookup_ttl_ms,
         lease_ms,
         shutdown_ms,
+        blocks,
         policy: policy.unwrap_or_default(),
         log: log.unwrap_or_else(default_log),
     })
@@ -283,6 +290,7 @@
         "choice",
         "\"least_cost\", \"two_choices\" or \"round_robin\"",
     );
+    let one_owner = fields.may("one_owner", "true or false");
     let fleet = fields.may("fleet", "settings of the table of backend servers");
     let hedge = fields.may("hedge", "settings of hedging");
     let retry = fields.may("retry", "settings of a budget");
@@ -291,6 +299,7 @@
     let queue = fields.may("queue", "settings of queues");
     let credits = fields.may("credits", "settings of credits");
     PolicySettings {
+        one_owner: one_owner.unwrap_or_default(),
         choice: choice.unwrap_or_default(),
         fleet: fleet.unwrap_or_default(),
         hedge: hedge.unwrap_or_default(),
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -1,9 +1,12 @@
 //! The callers' front of an entry VM.
 
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::Request;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -31,7 +34,7 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => attend(stream, &state, &graceful),
+                Ok((stream, from)) => attend(stream, from.ip(), &state, &graceful),
                 Err(error) => {
                     log::warn!(target: "entry", error:% = error; "could not accept a caller");
                     tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -51,10 +54,11 @@
     let _ = leaving.wait_for(|leaving| *leaving).await;
 }
 
-fn attend(stream: TcpStream, state: &Arc<State>, graceful: &GracefulShutdown) {
+fn attend(stream: TcpStream, client: IpAddr, state: &Arc<State>, graceful: &GracefulShutdown) {
     let _ = stream.set_nodelay(true);
     let state = Arc::clone(state);
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(client);
         let state = Arc::clone(&state);
         async move { Ok::<_, Infallible>(path::answer(state, request).await) }
     });
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -1,5 +1,6 @@
 //! The path of a request through an entry VM.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,7 +17,7 @@
 use crate::ask::Ask;
 use crate::attempt::Answered;
 use crate::body::{AnswerBody, Stream};
-use crate::booking;
+use crate::booking::{self, Exchange};
 use crate::gate::Admitted;
 use crate::headers;
 use crate::metrics::Labels;
@@ -83,6 +84,7 @@
     labels: &mut Labels,
 ) -> Result<Response<AnswerBody>, Error> {
     known(in_force)?;
+    let client = request.extensions().get::<IpAddr>().copied();
     let ask = Ask::read(request).await?;
     let contract = in_force.book.contract(&ask.key, &ask.service)?;
     *labels = Labels::of(&contract);
@@ -92,12 +94,15 @@
         let answered = arrival.run(state, &ask, &contract, &work, deadline).await?;
         return Ok(passed_on(answered, None));
     }
-    let admitted = state.gate.pass(Instant::now(), &contract)?;
+    if let Some(client) = client {
+        state.arrived(client, &contract)?;
+    }
+    let admitted = state.gate.pass(Instant::now(), &contract);
     if booking::concerns(&ask, &contract) {
-        let bookings = state.bookings()?;
-        let answer = bookings.answer(state, ask, &contract, work, id, deadline);
-        return answer.await;
+        let exchange = Exchange::new(state, ask, contract, work, admitted, id);
+        return state.bookings()?.answer(exchange, deadline).await;
     }
+    let admitted = admitted?;
     let tries = Tries {
         state,
         ask: &ask,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -4,17 +4,20 @@
 use std::time::Duration;
 
 use conf::PolicySettings;
+use peers::owner::Right;
 use pick::Work;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use world::{Book, Config, EntryVm, Error, Kind, Rank, Ranked, Secret};
+use world::{BackendServer, Book, Config, EntryVm, Error, Kind, Rank, Ranked, Secret, ServerName};
 
+use crate::ahead::Ahead;
 use crate::booking::Bookings;
 use crate::crossing::{Crossing, FORWARD};
 use crate::gate::Gate;
-use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::site::Site;
+use crate::traffic::Traffic;
 use crate::tries::Budgets;
 
 /// A configuration and the book made from it.
@@ -45,8 +48,12 @@
     pub secret: Secret,
     /// Limits of time.
     pub times: Times,
-    /// Entry VMs known.
-    pub members: Ranked<Members>,
+    /// Members, look-ups and owners.
+    pub site: Site,
+    /// Counters of arrivals.
+    pub traffic: Traffic,
+    /// Word of a newer configuration elsewhere.
+    pub ahead: Ahead,
     /// Plan limits, queues, credits and backend servers.
     pub gate: Arc<Gate>,
     /// Connections to backend servers and other entry VMs.
@@ -73,11 +80,14 @@
         secret: Secret,
         times: Times,
         policy: &PolicySettings,
+        site: Site,
     ) -> Result<Self, Error> {
         let region = me.place.region.clone();
         let gate = Gate::new(Instant::now(), policy.clone(), region, rand::random());
         Ok(Self {
-            members: Ranked::new(Rank::Members, Members::new(me.clone())),
+            site,
+            traffic: Traffic::new(Instant::now()),
+            ahead: Ahead::default(),
             gate: Arc::new(gate),
             pool: Pool::new(policy.trust),
             budgets: Budgets::new(policy.hedge, policy.retry),
@@ -140,6 +150,34 @@
         *self.version.borrow()
     }
 
+    /// From when on this VM owns a backend server; `None`: it doesn't.
+    #[must_use]
+    pub fn owned_from(&self, now: Instant, server: &ServerName) -> Option<Instant> {
+        if !self.gate.policy().one_owner {
+            return Some(now);
+        }
+        match self.site.right(now, server) {
+            Right::Owner => Some(now),
+            Right::From(from) => Some(from),
+            Right::Elsewhere(_) | Right::Lapsed => None,
+        }
+    }
+
+    /// Tells the table of backend servers whether this VM owns `server`.
+    pub fn own(&self, now: Instant, server: &BackendServer) {
+        let from = self.owned_from(now, &server.name);
+        let mut fleet = self.gate.fleet().table().lock();
+        fleet.set_owned(&server.service, &server.name, from);
+    }
+
+    /// As [`Self::own`] for every backend server known.
+    pub fn own_all(&self, now: Instant) {
+        let servers = self.gate.fleet().table().lock().live(now);
+        for server in &servers {
+            self.own(now, server);
+        }
+    }
+
     /// Puts a configuration in force if it is newer; never goes back.
     pub fn adopt(&self, config: Config) -> bool {
         let book = Book::new(&config.lists);
