--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -10,14 +10,14 @@
 use pick::{Fingerprint, Work};
 use tokio::time::Instant;
 use world::unit::{as_us, ms};
-use world::{Contract, Error};
+use world::{Contract, Error, Kind};
 
 use crate::answer::refuse;
 use crate::arrival::Arrival;
 use crate::ask::Ask;
 use crate::attempt::Answered;
 use crate::body::{AnswerBody, Stream};
-use crate::booking;
+use crate::booking::{self, Exchange};
 use crate::gate::Admitted;
 use crate::headers;
 use crate::metrics::Labels;
@@ -55,6 +55,19 @@
     response
 }
 
+/// Refuses while no configuration has come here: whom it would take for
+/// unknown may well be known.
+///
+/// # Errors
+/// [`Kind::Leaving`], so that the caller goes to another entry VM at once.
+pub fn known(in_force: &InForce) -> Result<(), Error> {
+    if in_force.config.version > 0 {
+        return Ok(());
+    }
+    let text = "this entry VM is starting and has no configuration yet";
+    Err(Error::new(Kind::Leaving, text))
+}
+
 fn stamp(response: &mut Response<AnswerBody>, in_force: &InForce, id: &str) {
     let stamped = response.headers_mut();
     stamped.insert(headers::CONFIG, in_force.config.version.into());
@@ -70,6 +83,7 @@
     (id, arrival): (&str, Option<Arrival>),
     labels: &mut Labels,
 ) -> Result<Response<AnswerBody>, Error> {
+    known(in_force)?;
     let client = request.extensions().get::<IpAddr>().copied();
     let ask = Ask::read(request).await?;
     let contract = in_force.book.contract(&ask.key, &ask.service)?;
@@ -83,12 +97,12 @@
     if let Some(client) = client {
         state.arrived(client, &contract)?;
     }
-    let admitted = state.gate.pass(Instant::now(), &contract)?;
+    let admitted = state.gate.pass(Instant::now(), &contract);
     if booking::concerns(&ask, &contract) {
-        let bookings = state.bookings()?;
-        let answer = bookings.answer(state, ask, &contract, work, id, deadline);
-        return answer.await;
+        let exchange = Exchange::new(state, ask, contract, work, admitted, id);
+        return state.bookings()?.answer(exchange, deadline).await;
     }
+    let admitted = admitted?;
     let tries = Tries {
         state,
         ask: &ask,
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -22,6 +22,7 @@
 use crate::desk::{Context, api};
 use crate::front;
 use crate::gossip::{self, LEAVE_SPREAD, keep_members};
+use crate::notices::tell;
 use crate::pull::{pull_config, pull_first};
 use crate::site::Site;
 use crate::state::{State, Times};
@@ -73,6 +74,7 @@
     state.site.set_links(Arc::clone(&links));
     let mut tasks = vec![
         tokio::spawn(tend(Arc::clone(&state))),
+        tokio::spawn(tell(Arc::clone(&state), Arc::clone(&links))),
         tokio::spawn(accept(link_listener, identity, Arc::clone(&state))),
         tokio::spawn(keep_members(Arc::clone(&state))),
     ];
