Let only the owner use a backend server, and hand over by agreement

Cause: slots were counted by every entry VM of a domain; with owners on, a new owner waited up to two leases although nobody else held a right, so a fresh site and each restart left servers unused for seconds. Ruled out: shorter leases (they only shorten the gap). Now each VM tells a digest of the VMs it sees live, once its work at servers of others is done; a new owner starts when all live VMs tell its own digest, else after the lease as before.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -109,7 +109,7 @@
 }
 
 /// Settings of the decisions; each has a baseline to measure it beside.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct PolicySettings {
     /// Whether only the owner of a backend server sends work to it; off, every
     /// entry VM of the failure domain counts all its slots.
@@ -132,6 +132,22 @@
     pub credits: CreditSettings,
 }
 
+impl Default for PolicySettings {
+    fn default() -> Self {
+        Self {
+            choice: Policy::default(),
+            fleet: FleetSettings::default(),
+            hedge: HedgeSettings::default(),
+            retry: BudgetSettings::default(),
+            trust: TrustSettings::default(),
+            poison: PoisonSettings::default(),
+            queue: QueueSettings::default(),
+            credits: CreditSettings::default(),
+            one_owner: true,
+        }
+    }
+}
+
 /// Reads and checks a settings file.
 ///
 /// # Errors
@@ -299,7 +315,7 @@
     let queue = fields.may("queue", "settings of queues");
     let credits = fields.may("credits", "settings of credits");
     PolicySettings {
-        one_owner: one_owner.unwrap_or_default(),
+        one_owner: one_owner.unwrap_or(true),
         choice: choice.unwrap_or_default(),
         fleet: fleet.unwrap_or_default(),
         hedge: hedge.unwrap_or_default(),
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -10,7 +10,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
-use world::{BackendServer, EntryVm, Error, Kind, MachineName};
+use world::{BackendServer, EntryVm, Error, Kind, MachineName, ServerName};
 
 use crate::path::known;
 use crate::state::State;
@@ -74,6 +74,8 @@
     pub entries: Vec<EntryVm>,
     /// Backend servers with a live lease here, by name.
     pub servers: Vec<BackendServer>,
+    /// Backend servers that this VM owns, by name.
+    pub owned: Vec<ServerName>,
 }
 
 /// The API of the desk.
@@ -152,11 +154,14 @@
     let state = request.context().state()?;
     let now = Instant::now();
     let entries = state.site.entries(now);
+    let servers = state.gate.fleet().table().lock().live(now);
+    let owned = state.gate.fleet().table().lock().owned(now);
     Ok(HttpResponseOk(Status {
         name: state.me.name.clone(),
         config_version: state.version(),
         entries: entries.iter().map(|vm| vm.as_ref().clone()).collect(),
-        servers: state.gate.fleet().table().lock().live(now),
+        servers,
+        owned,
     }))
 }
 
--- a/crates/entry/src/notices.rs
+++ b/crates/entry/src/notices.rs
@@ -1,5 +1,6 @@
 //! What entry VMs tell each other now and then: customers' demand, so that a
-//! plan's limit holds over all of them, and requests that crash backend servers.
+//! plan's limit holds over all of them, requests that crash backend servers, and
+//! who is live, so that a backend server changes owners without a long wait.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,7 +31,10 @@
         let now = Instant::now();
         let others = others(&state, now);
         let vm_count = u32::try_from(others.len() + 1).unwrap_or(u32::MAX);
-        let notice = notice(&state.gate, now, vm_count);
+        let notice = Notice {
+            live_digest: live_digest(&state, now),
+            ..notice(&state.gate, now, vm_count)
+        };
         for vm in others {
             let link = links.to(vm.link_addr);
             let notice = Body::Notice(notice.clone());
@@ -40,8 +44,13 @@
 }
 
 /// Takes in a notice of another entry VM.
-pub fn heard(gate: &Gate, from: &MachineName, notice: &Notice) {
+pub fn heard(state: &State, from: &MachineName, notice: &Notice) {
     let now = Instant::now();
+    let gate = &state.gate;
+    if notice.live_digest != 0 {
+        state.site.agree(now, from, notice.live_digest);
+        state.own_all(now);
+    }
     let seen: Vec<Seen> = notice.demands.iter().filter_map(seen_of).collect();
     gate.heard_demand(now, from, &seen);
     let marks: Vec<Mark> = notice.marks.iter().map(mark_of).collect();
@@ -54,6 +63,14 @@
     others
 }
 
+/// This VM's word on who is live, once its work at servers of others is done.
+fn live_digest(state: &State, now: Instant) -> u64 {
+    if state.gate.fleet().table().lock().lingers() {
+        return 0;
+    }
+    state.site.digest(now).unwrap_or(0)
+}
+
 fn notice(gate: &Gate, now: Instant, vm_count: u32) -> Notice {
     let demands = gate.report_demand(now, vm_count);
     let demands = demands.into_iter().map(|seen| Demand {
@@ -70,6 +87,7 @@
     Notice {
         demands: demands.collect(),
         marks: marks.collect(),
+        live_digest: 0,
     }
 }
 
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -17,7 +17,7 @@
 impl Serve for State {
     async fn serve(self: &Arc<Self>, from: &MachineName, body: Body) -> Option<Body> {
         if let Body::Notice(notice) = &body {
-            notices::heard(&self.gate, from, notice);
+            notices::heard(self, from, notice);
             return None;
         }
         let answer = match body {
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -12,7 +12,7 @@
 use steer::Blocks;
 use tokio::time::Instant;
 use world::unit::ms;
-use world::{Config, Drain, EntryVm, Place, Rank, Ranked, ServerName};
+use world::{Config, Drain, EntryVm, MachineName, Place, Rank, Ranked, ServerName};
 
 use crate::state::State;
 use crate::steering::{DomainSight, Steering};
@@ -94,6 +94,17 @@
         self.owners.lock().right(now, server)
     }
 
+    /// What to tell the other VMs of the failure domain about who is live.
+    #[must_use]
+    pub fn digest(&self, now: Instant) -> Option<u64> {
+        self.owners.lock().digest(now)
+    }
+
+    /// Takes in another VM's digest of who is live.
+    pub fn agree(&self, now: Instant, vm: &MachineName, digest: u64) {
+        self.owners.lock().agree(now, vm, digest);
+    }
+
     /// As [`Self::look`], when a member may have come or gone since.
     pub fn look_if_changed(&self, now: Instant, me: &EntryVm, config: &Config) {
         let revision = self.members.lock().revision();
--- a/crates/peers/src/owner.rs
+++ b/crates/peers/src/owner.rs
@@ -3,14 +3,16 @@
 //! Rendezvous hashing over the live entry VMs of a failure domain names the
 //! owner. A new owner waits until the old one's right has surely ended: a
 //! right lasts one lease beyond the last time that its holder looked at the
-//! members and had heard from another process.
+//! members and had heard from another process. The wait ends early when every
+//! other live VM has told that it sees the same VMs live, since none of them
+//! then holds a right by an older sight.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use tokio::time::Instant;
 use world::{MachineName, ServerName};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64, xxh3_64_with_seed};
 
 /// Leases that a VM waits after its own start: the others may learn of it late.
 const JOIN_LEASES: u32 = 2;
@@ -26,6 +28,16 @@
         .max_by_key(|name| (xxh3_64_with_seed(name.as_str().as_bytes(), key), *name))
 }
 
+/// Digest of a set of VMs, given by name in order; never 0.
+fn digest(live: &[MachineName]) -> u64 {
+    let mut hash = Xxh3::new();
+    for name in live {
+        hash.update(name.as_str().as_bytes());
+        hash.update(&[0]);
+    }
+    hash.digest().max(1)
+}
+
 /// Whether this VM may send work to a backend server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Right {
@@ -50,6 +62,13 @@
     pub heard_at: Option<Instant>,
 }
 
+/// Another VM's word on which VMs are live.
+#[derive(Clone, Copy, Debug)]
+struct Agreement {
+    digest: u64,
+    at: Instant,
+}
+
 /// Owners of the backend servers of a failure domain.
 #[derive(Debug)]
 pub struct Owners {
@@ -59,6 +78,8 @@
     seen_at: Instant,
     joined_at: Instant,
     changed_at: Instant,
+    lost_at: Option<Instant>,
+    agreed: HashMap<MachineName, Agreement>,
     mine_from: HashMap<ServerName, Instant>,
 }
 
@@ -73,6 +94,8 @@
             seen_at: now,
             joined_at: now,
             changed_at: now,
+            lost_at: None,
+            agreed: HashMap::new(),
             mine_from: HashMap::new(),
         }
     }
@@ -83,10 +106,14 @@
         if slept || self.was_silent(sight.heard_at) {
             // Others may have taken over, and may not have noticed the return.
             self.joined_at = now;
+            self.agreed.clear();
         }
         self.seen_at = now;
         if sight.live != self.sight.live {
             self.changed_at = now;
+            if self.sight.live.iter().any(|vm| !sight.live.contains(vm)) {
+                self.lost_at = Some(now);
+            }
             let me = self.me.clone();
             let from = now + self.lease;
             let owners = (&self.sight.live, &sight.live);
@@ -118,17 +145,49 @@
         };
         let joined = self.joined_at + self.lease * JOIN_LEASES;
         let from = mine_from.max(joined);
-        if now < from {
+        if now < from && !self.all_agree(now) {
             return Right::From(from);
         }
         Right::Owner
     }
 
+    /// What to tell the other VMs: a digest of the VMs that are live, once no
+    /// right of a lost one can be left.
+    #[must_use]
+    pub fn digest(&self, now: Instant) -> Option<u64> {
+        (!self.is_right_left(now)).then(|| digest(&self.sight.live))
+    }
+
+    /// Takes in another VM's digest. It holds no right by any other sight than
+    /// the one that it tells, so agreement ends the wait for its rights.
+    pub fn agree(&mut self, now: Instant, vm: &MachineName, digest: u64) {
+        let agreement = Agreement { digest, at: now };
+        self.agreed.insert(vm.clone(), agreement);
+    }
+
     /// Drops a backend server whose lease has ended.
     pub fn forget(&mut self, server: &ServerName) {
         self.mine_from.remove(server);
     }
 
+    /// Whether a VM that was lost may still use its rights.
+    fn is_right_left(&self, now: Instant) -> bool {
+        self.lost_at.is_some_and(|at| now < at + self.lease)
+    }
+
+    /// Whether every other live VM told the same sight after this one took it.
+    fn all_agree(&self, now: Instant) -> bool {
+        let since = self.changed_at.max(self.joined_at);
+        let mine = digest(&self.sight.live);
+        let agrees = |vm: &MachineName| {
+            self.agreed
+                .get(vm)
+                .is_some_and(|a| a.digest == mine && a.at > since && now < a.at + self.lease)
+        };
+        let mut others = self.sight.live.iter().filter(|vm| **vm != self.me);
+        self.sight.live.len() > 1 && !self.is_right_left(now) && others.all(agrees)
+    }
+
     /// Whether nobody was heard for a lease before `heard_at`.
     fn was_silent(&self, heard_at: Option<Instant>) -> bool {
         match (self.sight.heard_at, heard_at) {
--- a/crates/pick/src/fleet.rs
+++ b/crates/pick/src/fleet.rs
@@ -258,6 +258,26 @@
         (count > 0.0).then(|| sum_s / count)
     }
 
+    /// Servers that this process may send work to, by name.
+    #[must_use]
+    pub fn owned(&self, now: Instant) -> Vec<ServerName> {
+        let servers = self.groups.values().flat_map(|g| &g.servers);
+        let owned = servers.filter(|s| s.owned_from.is_some_and(|from| now >= from));
+        let mut names: Vec<_> = owned
+            .filter(|s| now < s.lease_until)
+            .map(|s| s.info.name.clone())
+            .collect();
+        names.sort();
+        names
+    }
+
+    /// Whether work still runs on a server that another process owns by now.
+    #[must_use]
+    pub fn lingers(&self) -> bool {
+        let mut servers = self.groups.values().flat_map(|g| &g.servers);
+        servers.any(|s| s.owned_from.is_none() && !s.running.is_empty())
+    }
+
     /// Servers with a live lease, by name.
     #[must_use]
     pub fn live(&self, now: Instant) -> Vec<BackendServer> {
--- a/crates/rig/src/site/mod.rs
+++ b/crates/rig/src/site/mod.rs
@@ -287,6 +287,13 @@
             };
             wait_until("entry VM knows all machines", knows_all).await?;
         }
-        Ok(())
+        let all_owned = || async {
+            let mut owned = 0;
+            for at in 0..self.entries.len() {
+                owned += self.status(at).await?.owned.len();
+            }
+            (owned == self.backends.len()).then_some(())
+        };
+        wait_until("each backend server has one owner", all_owned).await
     }
 }
--- a/crates/waxwingctl/src/control.rs
+++ b/crates/waxwingctl/src/control.rs
@@ -52,6 +52,9 @@
     /// Backend servers that it knows.
     #[serde(default)]
     pub servers: Vec<Backend>,
+    /// Backend servers that it owns.
+    #[serde(default)]
+    pub owned: Vec<ServerName>,
     /// Everything else that it says.
     #[serde(flatten)]
     pub rest: serde_json::Map<String, serde_json::Value>,
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -249,6 +249,10 @@
     /// Requests that crashed backend servers.
     #[prost(message, repeated, tag = "2")]
     pub marks: Vec<PoisonMark>,
+    /// Digest of the entry VMs of its failure domain that it sees live, once it
+    /// holds no slot by an older sight; 0 until then.
+    #[prost(fixed64, tag = "3")]
+    pub live_digest: u64,
 }
 
 /// Demand of one customer for one service.
