--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -5,11 +5,10 @@
 //! wake waiters. Batches are stored off the lock on a blocking thread.
 
 use std::collections::HashMap;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
-use parking_lot::Mutex;
 use quorum::{Batch, Disk, Done, Envelope, Machine, Outcome, Replica, ReplicaStatus};
 use quorum::{Settings, Ticket};
 use tokio::sync::{Notify, oneshot};
@@ -44,7 +43,7 @@
     table: Ranked<Table<M>>,
     courier: C,
     records: Notify,
-    tasks: Mutex<Vec<JoinHandle<()>>>,
+    tasks: OnceLock<[JoinHandle<()>; 2]>,
 }
 
 impl<M, C> Group<M, C>
@@ -75,11 +74,11 @@
             table: Ranked::new(Rank::Log, table),
             courier,
             records: Notify::new(),
-            tasks: Mutex::default(),
+            tasks: OnceLock::new(),
         });
         let ticks = tokio::spawn(Arc::clone(&group).tick_on(tick));
         let writer = tokio::spawn(Arc::clone(&group).store_on(disk));
-        *group.tasks.lock() = vec![ticks, writer];
+        let _ = group.tasks.set([ticks, writer]);
         Ok(group)
     }
 
@@ -151,7 +150,7 @@
 
     /// Ends the tasks; what was acknowledged is on the disk.
     pub fn stop(&self) {
-        for task in self.tasks.lock().drain(..) {
+        for task in self.tasks.get().into_iter().flatten() {
             task.abort();
         }
     }
--- a/crates/quorum/src/settings.rs
+++ b/crates/quorum/src/settings.rs
@@ -21,10 +21,10 @@
 impl Default for Timing {
     fn default() -> Self {
         Self {
-            heartbeat_ms: 100,
-            election_ms: 600,
+            heartbeat_ms: 250,
+            election_ms: 1_000,
             proposal_ms: 3_000,
-            replace_ms: 2_000,
+            replace_ms: 3_000,
         }
     }
 }
