Leave half of the ledger to other customers

Ruled out: an equal share for each customer (a site may have one or two).

Before: bounds for all together only. After: one customer may use half of the operations and of the answers.

--- a/crates/once/examples/size.rs
+++ b/crates/once/examples/size.rs
@@ -13,7 +13,10 @@
 
 fn id(number: usize) -> Result<OperationId, Error> {
     let key = OperationKey::new(&format!("booking-{number:024}"))?;
-    Ok(OperationId::new(CustomerName::new("brana-servis")?, key))
+    Ok(OperationId::new(
+        CustomerName::new(&format!("customer-{}", number % 3))?,
+        key,
+    ))
 }
 
 fn run(ledger: &mut Ledger, number: usize, now_ms: u64) -> Result<(), Error> {
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -10,6 +10,7 @@
 use crate::operation::{AttemptId, OperationId, RequestDigest};
 use crate::request::{Command, Reply, Request};
 use crate::spent::Spent;
+use crate::usage::Usage;
 
 /// How far an operation has come.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -51,6 +52,7 @@
     abandoned: BTreeMap<AttemptId, u64>,
     abandoned_expiry: BTreeSet<(u64, AttemptId)>,
     spent: Spent,
+    usage: Usage,
 }
 
 impl Default for Ledger {
@@ -74,6 +76,7 @@
             abandoned: BTreeMap::new(),
             abandoned_expiry: BTreeSet::new(),
             spent: Spent::default(),
+            usage: Usage::default(),
         }
     }
 
@@ -161,7 +164,7 @@
         if self.spent.contains(id.short_digest()) {
             return Reply::Expired;
         }
-        if self.is_full() {
+        if self.is_full() || self.usage.is_full(&id.customer, &self.limits) {
             return Reply::Full;
         }
         self.grant(id, digest, attempt, run_ms)
@@ -175,6 +178,7 @@
         run_ms: u64,
     ) -> Reply {
         self.fence += 1;
+        self.usage.begin(&id.customer);
         let until_ms = self.now_ms + run_ms.min(self.limits.run_max_ms);
         let operation = Operation {
             digest,
@@ -223,6 +227,7 @@
         }
         if let Phase::Done(Some(answer)) = &phase {
             self.answers_bytes += answer.size_bytes();
+            self.usage.keep(&id.customer, answer.size_bytes());
         }
         self.expiry.remove(&(operation.expires_ms, id.clone()));
         operation.expires_ms = self.now_ms + self.limits.retention_ms;
@@ -241,6 +246,7 @@
             self.running.remove(&(until_ms, id.clone()));
             self.expiry.remove(&(operation.expires_ms, id.clone()));
             self.operations.remove(id);
+            self.usage.end(&id.customer, 0);
         }
         self.refuse_later(attempt, asked_ms)
     }
@@ -292,9 +298,12 @@
         let Some(operation) = self.operations.remove(id) else {
             return;
         };
-        if let Phase::Done(Some(answer)) = operation.phase {
-            self.answers_bytes -= answer.size_bytes();
-        }
+        let answer_bytes = match &operation.phase {
+            Phase::Done(Some(answer)) => answer.size_bytes(),
+            Phase::Begun { .. } | Phase::Lost | Phase::Done(None) => 0,
+        };
+        self.answers_bytes -= answer_bytes;
+        self.usage.end(&id.customer, answer_bytes);
         self.spent.insert(id.short_digest(), self.now_ms);
     }
 }
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod request;
 mod spent;
 pub mod steward;
+mod usage;
 
 pub use answer::{Header, Keep, StoredAnswer};
 pub use client::LedgerClient;
