--- a/crates/rig/src/site/client.rs
+++ b/crates/rig/src/site/client.rs
@@ -1,6 +1,6 @@
 //! A caller for tests: one request at a time, with every header in its hands.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use anyhow::Context;
@@ -170,7 +170,20 @@
     /// # Errors
     /// When it can't be reached or refuses.
     pub async fn new(desk: SocketAddr, service: &str) -> anyhow::Result<Self> {
-        let request = Request::get(format!("/v1/lookup?service={service}"));
+        Self::ask(desk, &format!("/v1/lookup?service={service}")).await
+    }
+
+    /// As [`Self::new`], for a client at this address.
+    ///
+    /// # Errors
+    /// When it can't be reached or refuses.
+    pub async fn at(desk: SocketAddr, service: &str, client: IpAddr) -> anyhow::Result<Self> {
+        let path = format!("/v1/lookup?service={service}&client={client}");
+        Self::ask(desk, &path).await
+    }
+
+    async fn ask(desk: SocketAddr, path: &str) -> anyhow::Result<Self> {
+        let request = Request::get(path);
         let response = send(desk, request.body(Full::default())?, LOOKUP_WAIT).await?;
         let text = String::from_utf8_lossy(response.body());
         let lookup: Lookup = serde_json::from_str(&text)
--- a/crates/rig/tests/operations.rs
+++ b/crates/rig/tests/operations.rs
@@ -147,6 +147,22 @@
     (key, heard)
 }
 
+/// One client for each entry VM, at an address that is sent there first.
+async fn clients_of_each_entry(site: &Site) -> Vec<Client> {
+    let mut clients: Vec<Client> = Vec::new();
+    for number in 0..=u8::MAX {
+        let addr = [192, 0, number, 1].into();
+        let client = Client::at(site.desks()[0], "objednavky", addr).await;
+        let client = client.unwrap();
+        let first = &client.entries()[0].name;
+        if !clients.iter().any(|c| c.entries()[0].name == *first) {
+            clients.push(client);
+        }
+    }
+    assert_eq!(clients.len(), site.entries.len());
+    clients
+}
+
 #[tokio::test]
 async fn operations_run_once_while_entry_vms_die_and_freeze() {
     let mut site = site().await;
@@ -154,10 +170,7 @@
         let knobs = json!({ "base_us": 50_000, "late_per_mille": 100, "late_ms": 4_000, "cut_per_mille": 50 });
         backend.set(knobs).await.unwrap();
     }
-    let mut clients = Vec::new();
-    for desk in site.desks() {
-        clients.push(Client::new(desk, "objednavky").await.unwrap());
-    }
+    let clients = clients_of_each_entry(&site).await;
     let mut killed = site.entries.remove(0);
     let frozen = site.entries.remove(0);
     let faults = async {
