--- a/crates/rig/tests/membership.rs
+++ b/crates/rig/tests/membership.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use rig::process::{Process, wait_until};
-use rig::site::{Client, Plan, RegionPlan, Site};
+use rig::site::{Client, Plan, RegionPlan, Site, keys};
+use serde_json::json;
 use tokio::time::Instant;
+use waxwingctl::load::{Profile, Stream, run};
 
 /// A dead entry VM is out of look-ups after this time.
 const DEAD_MAX: Duration = Duration::from_secs(12);
@@ -128,3 +130,32 @@
         .await
         .unwrap();
 }
+
+#[tokio::test]
+async fn owners_never_overfill_a_server_while_one_dies() {
+    let plan = Plan::small().unwrap();
+    let plan = plan.with_setting("policy", json!({ "one_owner": true }));
+    let mut site = Site::start(plan).await.unwrap();
+    for backend in site.fleet("terminy") {
+        backend.set(json!({ "base_us": 50_000 })).await.unwrap();
+    }
+    let mut first = site.entries.remove(0);
+    let stream = Stream::new("terminy".parse().unwrap(), 900.0, keys()).with_deadline_ms(2_000);
+    let profile = Profile::new(site.desks(), 12.0, 31).with_streams(vec![stream]);
+    let kill = async {
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        first.process.kill().await.unwrap();
+    };
+    let (report, ()) = tokio::join!(run(&profile), kill);
+    for backend in site.fleet("terminy") {
+        let stats = backend.stats().await.unwrap();
+        assert!(stats.started > 0, "{} ran nothing", backend.name);
+        let highest = stats.crowd.highest_offered;
+        assert!(
+            highest <= backend.slots,
+            "{}: {stats:?}\n{}",
+            backend.name,
+            report.to_table()
+        );
+    }
+}
