Leave stragglers alone, hold slots until a server saw the close, refuse what broke two servers

Now the first goes on beside a second one; it is given up only where every slot waits and the server answered nothing since. - an owner freed the slot of an abandoned request before its server saw the close (11 requests at 10 slots); it is now held 25 ms longer. - two owners each saw one crash of the same request, so none convicted it. Two breaks of one piece of work, or two crashes with nothing beside it, now do, and the news goes out at once. Ruled out: a retry budget for silent connections (it is no load on top). Before: silent_connections and marked_request red with owners on. After: green (the latter four times in a row).

--- a/crates/entry/src/arrival.rs
+++ b/crates/entry/src/arrival.rs
@@ -4,13 +4,13 @@
 
 use admit::CreditId;
 use hyper::header::HeaderMap;
-use pick::Work;
+use pick::{Fingerprint, Mark, Work};
 use tokio::time::Instant;
 use world::{Contract, Error, Kind, RegionName};
 
 use crate::ask::{Ask, text};
 use crate::attempt::{Answered, Message, send};
-use crate::crossing::{CREDIT_HEADER, FORWARD, REGION_HEADER};
+use crate::crossing::{CREDIT_HEADER, FORWARD, REGION_HEADER, SUSPECT_HEADER};
 use crate::headers;
 use crate::place::Place;
 use crate::state::State;
@@ -23,6 +23,7 @@
     credit: CreditId,
     region: RegionName,
     fence: Option<u64>,
+    suspect: Option<(u64, u64)>,
 }
 
 impl Arrival {
@@ -41,7 +42,9 @@
             return Err(Error::new(Kind::BadKey, text));
         }
         let fence = text(request, headers::FENCE.as_str())?;
+        let suspect = text(request, SUSPECT_HEADER)?.and_then(suspect_of);
         Ok(Some(Self {
+            suspect,
             id: text(request, headers::REQUEST.as_str())?
                 .unwrap_or("")
                 .into(),
@@ -54,6 +57,22 @@
         }))
     }
 
+    /// Takes over what the other VM holds against the request, so that it runs
+    /// alone here and a crash convicts it.
+    pub fn mark(&self, state: &State, fingerprint: Fingerprint) {
+        let Some((crash_id, left_ms)) = self.suspect else {
+            return;
+        };
+        let mark = Mark {
+            fingerprint,
+            convicted: false,
+            crash_id,
+            sole: false,
+            left_ms,
+        };
+        state.gate.merge_marks(Instant::now(), &[mark]);
+    }
+
     /// Runs the work in the slot that its credit promises; one attempt only.
     ///
     /// # Errors
@@ -77,6 +96,8 @@
             id: &self.id,
             deadline,
             fence: self.fence,
+            fingerprint: work.fingerprint,
+            fresh: false,
         };
         let place = Place::Here(slot.with_alone(alone));
         let sent = send(state, place, work, &message).await;
@@ -84,6 +105,12 @@
     }
 }
 
+fn suspect_of(suspect: &str) -> Option<(u64, u64)> {
+    let (crash_id, left_ms) = suspect.split_once('-')?;
+    let crash_id = u64::from_str_radix(crash_id, 16).ok()?;
+    Some((crash_id, left_ms.parse().ok()?))
+}
+
 fn credit_of(credit: &str) -> Result<CreditId, Error> {
     let parts = credit.split_once('-').and_then(|(epoch, number)| {
         Some(CreditId {
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -8,13 +8,13 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
-use pick::{Outcome, Work};
+use pick::{Fingerprint, Outcome, Work};
 use tokio::time::{Instant, timeout_at};
 use world::unit::as_ms;
 use world::{Error, Kind, Ran, ServerName};
 
 use crate::ask::{Ask, DEADLINE_HEADER};
-use crate::crossing::{CREDIT_HEADER, Leave, REGION_HEADER};
+use crate::crossing::{CREDIT_HEADER, Leave, REGION_HEADER, SUSPECT_HEADER};
 use crate::flow::Flow;
 use crate::headers;
 use crate::place::Place;
@@ -34,6 +34,10 @@
     pub deadline: Instant,
     /// Number of the right to run an operation.
     pub fence: Option<u64>,
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Whether a new connection carries it, since pooled ones may be silent.
+    pub fresh: bool,
 }
 
 /// An answer whose body is still to be read.
@@ -52,6 +56,11 @@
     pub error: Error,
     /// Whether the work may have run.
     pub may_have_run: bool,
+    /// Whether the connection broke while the server ran the work.
+    pub broken: bool,
+    /// Whether only its connection is to blame, so that a further attempt is
+    /// no load on top and costs no budget.
+    pub silent: bool,
     /// Server that had the attempt.
     pub server: Option<ServerName>,
     /// The server's own answer of a fault, to be passed on when nothing better comes.
@@ -65,6 +74,8 @@
         Self {
             error,
             may_have_run: false,
+            broken: false,
+            silent: false,
             server: None,
             answer: None,
         }
@@ -105,9 +116,9 @@
     message: &Message<'_>,
 ) -> Result<Answered, Failure> {
     let peer = place.peer().map_err(Failure::not_run)?;
-    let mut flow = connect(state, place, &peer, work).await?;
+    let mut flow = connect(state, place, &peer, work, message.fresh).await?;
     let sent_at = Instant::now();
-    let sending = hand_over(state, &mut flow, work, message);
+    let sending = hand_over(state, &mut flow, message);
     let answer = match timeout_at(message.deadline, sending).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(failure)) => return Err(flow.failed(failure)),
@@ -127,8 +138,9 @@
     place: Place,
     peer: &Peer,
     work: &Work,
+    fresh: bool,
 ) -> Result<Flow, Failure> {
-    if let Some(connection) = state.pool.idle(peer, work) {
+    if !fresh && let Some(connection) = state.pool.idle(peer, work) {
         return Ok(Flow::new(state, place, peer.clone(), connection));
     }
     match open(state, &place, peer).await {
@@ -158,22 +170,24 @@
 }
 
 /// Hands the request to the connection. A pooled one that closed before the
-/// first byte went out, or that stays silent, is replaced by a new one.
+/// first byte went out is replaced by a new one.
 async fn hand_over(
     state: &State,
     flow: &mut Flow,
-    work: &Work,
     message: &Message<'_>,
 ) -> Result<Response<Incoming>, (Outcome, Failure)> {
-    if flow.connection.reused {
-        if let Some(result) = try_reused(state, flow, work, message).await {
-            return result;
-        }
-        flow.connection = open(state, &flow.place, &flow.peer)
-            .await
-            .map_err(|error| (Outcome::ConnectFailed, Failure::not_run(error)))?;
-    }
     let request = message.of(state, flow)?;
+    let mut failed = match flow.connection.sender.try_send_request(request).await {
+        Ok(answer) => return Ok(answer),
+        Err(error) => error,
+    };
+    let request = match failed.take_message() {
+        Some(request) if flow.connection.reused => request,
+        unsent => return Err(lost(flow, failed.error(), unsent.is_some())),
+    };
+    flow.connection = open(state, &flow.place, &flow.peer)
+        .await
+        .map_err(|error| (Outcome::ConnectFailed, Failure::not_run(error)))?;
     let sent = flow.connection.sender.try_send_request(request).await;
     sent.map_err(|mut error| {
         let unsent = error.take_message().is_some();
@@ -181,51 +195,6 @@
     })
 }
 
-/// Tries a pooled connection; `None`: it is of no use, a new one may be tried.
-async fn try_reused(
-    state: &State,
-    flow: &mut Flow,
-    work: &Work,
-    message: &Message<'_>,
-) -> Option<Result<Response<Incoming>, (Outcome, Failure)>> {
-    let request = match message.of(state, flow) {
-        Ok(request) => request,
-        Err(failure) => return Some(Err(failure)),
-    };
-    let sent_at = Instant::now();
-    let until = if work.idempotent {
-        // Half of the time left stays for the new connection, whatever is typical.
-        let left = message.deadline.saturating_duration_since(sent_at);
-        sent_at + state.patience(&message.ask.service, work).min(left / 2)
-    } else {
-        message.deadline
-    };
-    let sending = flow.connection.sender.try_send_request(request);
-    match timeout_at(until, sending).await {
-        Ok(Ok(answer)) => Some(Ok(answer)),
-        Ok(Err(mut error)) => match error.take_message() {
-            Some(_) => None,
-            None => Some(Err(lost(flow, error.error(), false))),
-        },
-        Err(_) => {
-            log::info!(
-                target: "entry",
-                request = message.id,
-                server:% = flow.peer.name;
-                "connection is silent"
-            );
-            state.pool.silent(&flow.peer, sent_at);
-            if work.idempotent {
-                return None;
-            }
-            // It may have run, so it never goes out a second time.
-            let text = format!("{} was running", flow.peer.name);
-            let failure = Failure::unknown(Error::new(Kind::DeadlineRunning, text));
-            Some(Err((Outcome::TimedOut, failure)))
-        }
-    }
-}
-
 /// What became of a request that got no answer.
 fn lost(flow: &Flow, error: &hyper::Error, unsent: bool) -> (Outcome, Failure) {
     let text = format!("{}: {error}", flow.peer.name);
@@ -233,7 +202,10 @@
         let failure = Failure::not_run(Error::new(Kind::NoServer, text));
         return (Outcome::ConnectFailed, failure);
     }
-    let failure = Failure::unknown(Error::new(Kind::ServerFailed, text));
+    let failure = Failure {
+        broken: true,
+        ..Failure::unknown(Error::new(Kind::ServerFailed, text))
+    };
     (Outcome::Broken, failure)
 }
 
@@ -291,12 +263,13 @@
         (Place::There(_), Some(code)) => {
             let kind = Kind::from_code(code).unwrap_or(Kind::Internal);
             let error = Error::new(kind, format!("{} refused", peer.name));
-            let failure = if not_run {
-                Failure::not_run
-            } else {
-                Failure::unknown
-            };
-            Some(failure(error))
+            if not_run {
+                return Some(Failure::not_run(error));
+            }
+            Some(Failure {
+                broken: kind == Kind::ServerFailed,
+                ..Failure::unknown(error)
+            })
         }
         _ if not_run && !head.status.is_success() => {
             let text = format!("{} refused with {} before it ran", peer.name, head.status);
@@ -346,6 +319,12 @@
             set(REGION_HEADER, state.me.place.region.as_str())?;
             set(::desk::SECRET_HEADER, &state.forward_proof)?;
             set(::desk::KEY_HEADER, ask.key_text())?;
+            if let Some(mark) = state.gate.mark(Instant::now(), self.fingerprint) {
+                set(
+                    SUSPECT_HEADER,
+                    &format!("{:x}-{}", mark.crash_id, mark.left_ms),
+                )?;
+            }
         }
         let uri = match place {
             Place::Here(_) => ask.rest.clone(),
--- a/crates/entry/src/booking/exchange.rs
+++ b/crates/entry/src/booking/exchange.rs
@@ -82,6 +82,8 @@
             id: &self.request,
             deadline: right.deadline,
             fence: Some(right.fence),
+            fingerprint: self.work.fingerprint,
+            fresh: false,
         };
         message.http(&self.state, &flow.place, &flow.peer)
     }
--- a/crates/entry/src/crossing.rs
+++ b/crates/entry/src/crossing.rs
@@ -21,6 +21,10 @@
 /// Header with the region of the VM that hands work over.
 pub const REGION_HEADER: &str = "x-waxwing-region";
 
+/// Header with the crash that the request is suspect of, and the time for which
+/// it is, milliseconds.
+pub const SUSPECT_HEADER: &str = "x-waxwing-suspect";
+
 /// Purpose that the proof of a VM that hands work over is bound to.
 pub const FORWARD: &str = "forward";
 
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -45,7 +45,10 @@
     pub fn end(self, outcome: Outcome) {
         drop(self.connection);
         if let Place::Here(slot) = self.place {
-            slot.done(outcome);
+            match outcome {
+                Outcome::TimedOut | Outcome::Failed => slot.done_later(outcome),
+                _ => slot.done(outcome),
+            }
         }
     }
 
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -10,10 +10,10 @@
 use admit::{CreditId, Grant, Limits, Pass, Queue, Waiting};
 use conf::PolicySettings;
 use pick::{Fleet, Mark, NoSlot, Outcome, Permit, Poison, SharedFleet, Verdict, Work};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, timeout_at};
 use world::{
-    BackendServer, Class, Config, Contract, Error, MachineName, Rank, Ranked, RegionName,
+    BackendServer, Class, Config, Contract, Error, Kind, MachineName, Rank, Ranked, RegionName,
     ServiceName,
 };
 
@@ -45,6 +45,7 @@
     fleet: SharedFleet,
     poison: Ranked<Poison>,
     shares: Ranked<PlanShares>,
+    news: Notify,
 }
 
 impl Gate {
@@ -62,6 +63,7 @@
             ),
             fleet: SharedFleet::new(fleet),
             shares: Ranked::new(Rank::Members, PlanShares::new(now)),
+            news: Notify::new(),
             poison: Ranked::new(Rank::Poison, Poison::new(policy.poison)),
             policy,
         }
@@ -289,6 +291,29 @@
         self.poison.lock().marks(now)
     }
 
+    /// Takes in that two servers broke off while they ran the same request;
+    /// gives what its caller is told.
+    pub fn broke_twice(&self, now: Instant, fingerprint: pick::Fingerprint) -> Error {
+        self.poison.lock().broke_twice(now, fingerprint);
+        self.news.notify_one();
+        Error::new(
+            Kind::Poison,
+            "two backend servers broke off while they ran it",
+        )
+    }
+
+    /// Waits for something that other entry VMs should know at once.
+    pub async fn news(&self) {
+        self.news.notified().await;
+    }
+
+    /// The mark of one request.
+    #[must_use]
+    pub fn mark(&self, now: Instant, fingerprint: pick::Fingerprint) -> Option<Mark> {
+        let marks = self.poison.lock().marks(now);
+        marks.into_iter().find(|m| m.fingerprint == fingerprint)
+    }
+
     /// Takes in other entry VMs' marks.
     pub fn merge_marks(&self, now: Instant, marks: &[Mark]) {
         self.poison.lock().merge(now, marks);
@@ -305,6 +330,9 @@
             log::warn!(target: "entry", crash = crash.id, ran = crash.ran.len(); "backend server crashed");
             self.poison.lock().crashed(now, crash);
         }
+        if !crashes.is_empty() {
+            self.news.notify_one();
+        }
     }
 
     fn slot(self: &Arc<Self>, service: &ServiceName, permit: Permit) -> Slot {
--- a/crates/entry/src/notices.rs
+++ b/crates/entry/src/notices.rs
@@ -26,7 +26,10 @@
     beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut sending = JoinSet::new();
     loop {
-        beat.tick().await;
+        tokio::select! {
+            _ = beat.tick() => {}
+            () = state.gate.news() => {}
+        }
         while sending.try_join_next().is_some() {}
         let now = Instant::now();
         let others = others(&state, now);
@@ -83,6 +86,7 @@
         convicted: mark.convicted,
         crash_id: mark.crash_id,
         left_ms: mark.left_ms,
+        sole: mark.sole,
     });
     Notice {
         demands: demands.collect(),
@@ -106,5 +110,6 @@
         convicted: mark.convicted,
         crash_id: mark.crash_id,
         left_ms: mark.left_ms,
+        sole: mark.sole,
     }
 }
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -89,7 +89,7 @@
     let contract = in_force.book.contract(&ask.key, &ask.service)?;
     *labels = Labels::of(&contract);
     let deadline = ask.arrived_at + deadline(&ask, &contract);
-    let work = work(state, &ask, &contract)?;
+    let work = work(state, &ask, &contract, arrival.as_ref())?;
     if let Some(arrival) = arrival {
         let answered = arrival.run(state, &ask, &contract, &work, deadline).await?;
         return Ok(passed_on(answered, None));
@@ -121,7 +121,12 @@
 }
 
 /// The request as the choice of a backend server sees it.
-fn work(state: &State, ask: &Ask, contract: &Contract) -> Result<Work, Error> {
+fn work(
+    state: &State,
+    ask: &Ask,
+    contract: &Contract,
+    arrival: Option<&Arrival>,
+) -> Result<Work, Error> {
     let fingerprint = Fingerprint::of(&[
         contract.customer.as_str().as_bytes(),
         ask.method.as_str().as_bytes(),
@@ -129,6 +134,9 @@
         ask.rest.as_bytes(),
         &ask.body,
     ]);
+    if let Some(arrival) = arrival {
+        arrival.mark(state, fingerprint);
+    }
     let alone = state.gate.alone(Instant::now(), fingerprint)?;
     let work = Work::new(contract.service.class, fingerprint)
         .with_idempotent(contract.service.idempotent || ask.method.is_safe())
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -23,6 +23,9 @@
 /// Idle connections kept to one address.
 const IDLE_MAX: usize = 64;
 
+/// Time for which the last answer from a peer is remembered.
+const HEARD_MEMORY: Duration = Duration::from_secs(60);
+
 /// Where a connection leads.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Peer {
@@ -50,6 +53,7 @@
 
 struct Table {
     idle: HashMap<Peer, Vec<Connection>>,
+    heard_at: HashMap<Peer, Instant>,
     trust: Trust,
 }
 
@@ -59,6 +63,7 @@
     pub fn new(settings: TrustSettings) -> Self {
         let table = Table {
             idle: HashMap::new(),
+            heard_at: HashMap::new(),
             trust: Trust::new(settings),
         };
         Self {
@@ -118,6 +123,9 @@
         connection.age.last_byte_at = Instant::now();
         connection.reused = true;
         let mut table = self.table.lock();
+        table
+            .heard_at
+            .insert(peer.clone(), connection.age.last_byte_at);
         let idle = table.idle.entry(peer.clone()).or_default();
         if idle.len() < IDLE_MAX {
             idle.push(connection);
@@ -127,6 +135,13 @@
         drop(connection);
     }
 
+    /// Whether a whole answer came from there since `since`.
+    #[must_use]
+    pub fn is_heard(&self, peer: &Peer, since: Instant) -> bool {
+        let table = self.table.lock();
+        table.heard_at.get(peer).is_some_and(|at| *at > since)
+    }
+
     /// Time for which a connection may be silent after a request.
     #[must_use]
     pub fn patience(&self, typical: Duration) -> Duration {
@@ -144,7 +159,10 @@
         let mut dropped = Vec::new();
         let mut table = self.table.lock();
         table.trust.expire(now);
-        let Table { idle, trust } = &mut *table;
+        table
+            .heard_at
+            .retain(|_, at| now.duration_since(*at) < HEARD_MEMORY);
+        let Table { idle, trust, .. } = &mut *table;
         let plain = Work::new(world::Class::Short, pick::Fingerprint(0));
         for (peer, connections) in idle.iter_mut() {
             let keeps = |c: &mut Connection| {
--- a/crates/entry/src/slot.rs
+++ b/crates/entry/src/slot.rs
@@ -2,13 +2,20 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use pick::{Fingerprint, Outcome, Permit};
+use tokio::runtime::Handle;
+use tokio::time::sleep;
 use world::{ServerName, ServiceName};
 
 use crate::credits::Entrant;
 use crate::gate::Gate;
 
+/// Time until a server has surely seen that a connection closed, and stopped
+/// the work that ran for it.
+const CLOSE_GRACE: Duration = Duration::from_millis(25);
+
 /// A slot; dropped without an outcome, its work counts as cancelled. Work that
 /// waits is woken when it is given back.
 pub struct Slot {
@@ -69,27 +76,46 @@
         self.gate.wake(&self.service);
     }
 
+    /// Gives the slot back once the server has seen that nobody waits: until
+    /// then it still runs the work.
+    pub fn done_later(self, outcome: Outcome) {
+        let Ok(workers) = Handle::try_current() else {
+            return self.done(outcome);
+        };
+        workers.spawn(async move {
+            sleep(CLOSE_GRACE).await;
+            self.done(outcome);
+        });
+    }
+
     /// Gives the slot back unused, without waking work that waits.
     pub(crate) fn give_back(mut self) {
         self.release(Outcome::Cancelled);
     }
 
-    fn release(&mut self, outcome: Outcome) -> bool {
+    fn release(&mut self, outcome: Outcome) {
         let Some(permit) = self.permit.take() else {
-            return false;
+            return;
         };
         self.gate.done(permit, self.alone, outcome);
         if let Some(entrant) = self.entrant.take() {
             self.gate.credits().lock().release(entrant);
         }
-        true
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        if self.release(Outcome::Cancelled) {
-            self.gate.wake(&self.service);
-        }
+        let Some(permit) = self.permit.take() else {
+            return;
+        };
+        let slot = Self {
+            gate: Arc::clone(&self.gate),
+            service: self.service.clone(),
+            permit: Some(permit),
+            entrant: self.entrant.take(),
+            alone: self.alone,
+        };
+        slot.done_later(Outcome::Cancelled);
     }
 }
--- a/crates/entry/src/tries.rs
+++ b/crates/entry/src/tries.rs
@@ -3,18 +3,26 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pick::{BudgetSettings, Hedge, HedgeSettings, Retry, RetryBudget, Work};
-use tokio::time::{Instant, sleep};
-use world::{Contract, Error, Rank, Ranked, ServiceName};
+use pick::{BudgetSettings, Hedge, HedgeSettings, Outcome, Retry, RetryBudget, Work};
+use tokio::time::{Instant, timeout, timeout_at};
+use world::{Contract, Error, Kind, Rank, Ranked, ServiceName};
 
 use crate::ask::Ask;
 use crate::attempt::{Answered, Failure, Message, send};
 use crate::place::{Place, find};
+use crate::pool::Peer;
+use crate::slot::Slot;
 use crate::state::State;
 
 /// Time that an attempt is expected to take before any was seen.
 const EXPECTED_UNSEEN: Duration = Duration::from_millis(5);
 
+/// Servers that may break off while they run one piece of work.
+const BREAKS_MAX: u32 = 2;
+
+/// Time between two looks for a slot for a second attempt.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+
 /// Budgets of one entry VM.
 pub struct Budgets {
     table: Ranked<(Hedge, RetryBudget)>,
@@ -63,6 +71,14 @@
     pub deadline: Instant,
 }
 
+/// An attempt that is about to be made.
+struct First {
+    place: Place,
+    attempts: u32,
+    /// Whether a new connection carries it.
+    fresh: bool,
+}
+
 impl Tries<'_> {
     /// Makes attempts until one is answered well, or no further one is allowed.
     ///
@@ -72,23 +88,27 @@
         let service = &self.contract.service.name;
         let mut hedge_after = self.state.budgets.start(service, &work);
         let mut last: Option<Failure> = None;
+        let mut breaks = 0;
         for attempts in 1.. {
             let place = match find(self.state, self.contract, &work, self.deadline).await {
                 Ok(place) => place,
                 Err(error) => return give_up(last, error),
             };
-            let failure = match self
-                .hedged(place, &work, attempts, hedge_after.take())
-                .await
-            {
+            let first = First {
+                place,
+                attempts,
+                fresh: last.as_ref().is_some_and(|failure| failure.silent),
+            };
+            let failure = match self.hedged(first, &work, hedge_after.take()).await {
                 Ok(answered) => return Ok(answered),
                 Err(failure) => failure,
             };
-            if !self
-                .state
-                .budgets
-                .may_retry(&self.retry(&work, &failure, attempts))
-            {
+            breaks += u32::from(failure.broken);
+            if breaks >= BREAKS_MAX {
+                let gate = &self.state.gate;
+                return Err(gate.broke_twice(Instant::now(), work.fingerprint));
+            }
+            if !self.may_go_on(&work, &failure, attempts) {
                 return failure.into_answer();
             }
             log::info!(target: "entry", request = self.id, attempts, error:% = failure.error; "tried again");
@@ -100,6 +120,14 @@
         unreachable!("the budget bounds the attempts")
     }
 
+    fn may_go_on(&self, work: &Work, failure: &Failure, attempts: u32) -> bool {
+        let retry = self.retry(work, failure, attempts);
+        if failure.silent {
+            return retry.is_open(Instant::now());
+        }
+        self.state.budgets.may_retry(&retry)
+    }
+
     fn retry(&self, work: &Work, failure: &Failure, attempts: u32) -> Retry {
         let fleet = self.state.gate.fleet().table().lock();
         let seen_s = fleet.latency_s(self.contract.service.name.as_str(), work.class);
@@ -111,40 +139,53 @@
         }
     }
 
+    /// One attempt, and a second one beside it when the first is late.
     async fn hedged(
         &self,
-        place: Place,
+        first: First,
         work: &Work,
-        attempts: u32,
         hedge_after: Option<Duration>,
     ) -> Result<Answered, Failure> {
-        let server = place.server().cloned();
+        let First {
+            place,
+            attempts,
+            fresh,
+        } = first;
         let service = &self.contract.service.name;
         let started_at = Instant::now();
+        let (server, peer) = (place.server().cloned(), place.peer().ok());
         let first_id = format!("{}-{attempts}", self.id);
-        let first = self.attempt(place, work, &first_id);
+        let first = self.attempt(place, work, &first_id, fresh);
         tokio::pin!(first);
-        let (Some(after), Some(server)) = (hedge_after, server) else {
-            return first.await;
-        };
-        tokio::select! {
-            result = &mut first => {
+        let mut second = None;
+        if let (Some(after), Some(server)) = (hedge_after, server) {
+            if let Ok(result) = timeout(after, first.as_mut()).await {
                 self.state.budgets.record(service, started_at.elapsed());
                 return result;
             }
-            () = sleep(after) => {}
+            second = self.hedge_slot(&work.clone().with_avoid(server));
         }
-        let other = work.clone().with_avoid(server);
-        let slot = self.state.gate.try_slot(Instant::now(), service, &other);
-        let Ok(slot) = slot else {
+        if second.is_none() && work.idempotent && !work.alone {
+            let mut until = started_at + self.patience(work);
+            while second.is_none() && until < self.deadline {
+                if let Ok(result) = timeout_at(until, first.as_mut()).await {
+                    return result;
+                }
+                until = Instant::now() + LOOK_AGAIN;
+                second = self.second_slot(work, attempts);
+                if second.is_none() && !self.is_heard(peer.as_ref(), started_at) {
+                    return Err(silent());
+                }
+            }
+            if let Some(peer) = &peer {
+                self.state.pool.silent(peer, started_at);
+            }
+        }
+        let Some(slot) = second else {
             return first.await;
         };
-        if !self.state.budgets.may_hedge() {
-            drop(slot);
-            return first.await;
-        }
         let second_id = format!("{first_id}h");
-        let second = self.attempt(Place::Here(slot), &other, &second_id);
+        let second = self.attempt(Place::Here(slot), work, &second_id, true);
         tokio::pin!(second);
         let result = tokio::select! {
             result = &mut first => match result {
@@ -160,12 +201,68 @@
         result
     }
 
-    async fn attempt(&self, place: Place, work: &Work, id: &str) -> Result<Answered, Failure> {
+    /// Whether the server has answered anything since the attempt began. Where
+    /// it has not, and every slot waits, the connections are taken for lost.
+    fn is_heard(&self, peer: Option<&Peer>, started_at: Instant) -> bool {
+        let Some(peer) = peer else { return true };
+        if self.state.pool.is_heard(peer, started_at) {
+            return true;
+        }
+        self.state.pool.silent(peer, started_at);
+        false
+    }
+
+    /// Time after which the first attempt's connection may have gone silent;
+    /// half of the time left stays for the second, whatever is typical.
+    fn patience(&self, work: &Work) -> Duration {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        self.state.patience(&self.ask.service, work).min(left / 2)
+    }
+
+    /// A slot of another server for a hedge, on the budget.
+    fn hedge_slot(&self, other: &Work) -> Option<Slot> {
+        let service = &self.contract.service.name;
+        let slot = self.state.gate.try_slot(Instant::now(), service, other);
+        let slot = slot.ok()?;
+        if self.state.budgets.may_hedge() {
+            return Some(slot);
+        }
+        slot.done(Outcome::Cancelled);
+        None
+    }
+
+    /// A slot of any server for a second attempt over a new connection, on the
+    /// budget for retries; the first goes on, as it may only be slow.
+    fn second_slot(&self, work: &Work, attempts: u32) -> Option<Slot> {
+        let service = &self.contract.service.name;
+        let slot = self.state.gate.try_slot(Instant::now(), service, work);
+        let slot = slot.ok()?;
+        let unknown = Failure::unknown(admit::queue::late_error());
+        if self
+            .state
+            .budgets
+            .may_retry(&self.retry(work, &unknown, attempts))
+        {
+            return Some(slot);
+        }
+        slot.done(Outcome::Cancelled);
+        None
+    }
+
+    async fn attempt(
+        &self,
+        place: Place,
+        work: &Work,
+        id: &str,
+        fresh: bool,
+    ) -> Result<Answered, Failure> {
         let message = Message {
             ask: self.ask,
             id,
             deadline: self.deadline,
             fence: None,
+            fingerprint: work.fingerprint,
+            fresh,
         };
         send(self.state, place, work, &message).await
     }
@@ -184,6 +281,15 @@
     }
 }
 
+/// An attempt that is given up since its connection stays silent.
+fn silent() -> Failure {
+    let text = "the connection to the backend server stays silent";
+    Failure {
+        silent: true,
+        ..Failure::unknown(Error::new(Kind::ServerFailed, text))
+    }
+}
+
 /// No place for a further attempt: what the last one failed by counts.
 fn give_up(last: Option<Failure>, error: Error) -> Result<Answered, Error> {
     match last {
--- a/crates/pick/src/budget.rs
+++ b/crates/pick/src/budget.rs
@@ -69,6 +69,14 @@
     pub expected: Duration,
 }
 
+impl Retry {
+    /// Whether another attempt may be made now, apart from the budget.
+    #[must_use]
+    pub fn is_open(&self, now: Instant) -> bool {
+        self.may_run_again && self.attempts < ATTEMPTS_MAX && now + self.expected < self.deadline
+    }
+}
+
 /// Attempts of one piece of work at most.
 pub const ATTEMPTS_MAX: u32 = 3;
 
@@ -94,9 +102,6 @@
 
     /// Whether another attempt may be made now; pays for it.
     pub fn allow(&mut self, now: Instant, retry: &Retry) -> bool {
-        retry.may_run_again
-            && retry.attempts < ATTEMPTS_MAX
-            && now + retry.expected < retry.deadline
-            && self.budget.spend()
+        retry.is_open(now) && self.budget.spend()
     }
 }
--- a/crates/pick/src/poison.rs
+++ b/crates/pick/src/poison.rs
@@ -3,6 +3,7 @@
 //! Whatever ran on a server when it crashed is suspect, and a suspect runs
 //! alone. A second crash convicts the request that was the only earlier
 //! suspect among what ran, as one that ran alone is; it is refused for a time.
+//! So do two crashes that two entry VMs saw, if nothing else ran in one of them.
 
 use std::collections::HashMap;
 
@@ -53,6 +54,7 @@
     standing: Standing,
     until: Instant,
     crash_id: u64,
+    sole: bool,
 }
 
 /// A mark as it goes to another entry VM: time is left over, not a date.
@@ -65,6 +67,8 @@
     pub convicted: bool,
     /// Number of the crash that it is marked for.
     pub crash_id: u64,
+    /// Whether nothing else ran when the server crashed.
+    pub sole: bool,
     /// Time that the mark still holds, milliseconds.
     pub left_ms: u64,
 }
@@ -137,22 +141,41 @@
         };
         let earlier: Vec<_> = crash.ran.iter().filter(earlier).copied().collect();
         if let [only] = earlier[..] {
-            self.put(now, only, Standing::Convicted, crash.id);
+            self.put(now, only, Standing::Convicted, crash.id, true);
             return;
         }
+        let sole = crash.ran.len() == 1;
         for fingerprint in &crash.ran {
             if self.check(now, *fingerprint) != Verdict::Alone {
-                self.put(now, *fingerprint, Standing::Suspect, crash.id);
+                self.put(now, *fingerprint, Standing::Suspect, crash.id, sole);
             }
         }
     }
 
+    /// Takes in that two servers broke off while they ran the same request. One
+    /// cause may have struck both, so it is refused for as long as a suspect.
+    pub fn broke_twice(&mut self, now: Instant, fingerprint: Fingerprint) {
+        let held = Held {
+            standing: Standing::Convicted,
+            until: now + ms(self.settings.suspect_ms),
+            crash_id: 0,
+            sole: false,
+        };
+        self.insert(now, fingerprint, held);
+    }
+
     /// Takes in that a suspect ran alone and its server lived.
     pub fn passed(&mut self, now: Instant, fingerprint: Fingerprint) {
         if let Some(held) = self.held(now, fingerprint)
             && held.standing == Standing::Suspect
         {
-            self.put(now, fingerprint, Standing::Acquitted, held.crash_id);
+            self.put(
+                now,
+                fingerprint,
+                Standing::Acquitted,
+                held.crash_id,
+                held.sole,
+            );
         }
     }
 
@@ -167,6 +190,7 @@
                 fingerprint: *fingerprint,
                 convicted: held.standing == Standing::Convicted,
                 crash_id: held.crash_id,
+                sole: held.sole,
                 left_ms: as_ms(held.until - now),
             })
             .collect();
@@ -177,19 +201,24 @@
     /// Takes in another entry VM's marks; the graver and longer mark stays.
     pub fn merge(&mut self, now: Instant, marks: &[Mark]) {
         for mark in marks {
-            let standing = if mark.convicted {
+            let standing = if mark.convicted || self.is_second_crash(now, mark) {
                 Standing::Convicted
             } else {
                 Standing::Suspect
             };
-            let until = now + ms(mark.left_ms.min(self.lasts_ms(standing)));
+            let left_ms = if mark.convicted || standing == Standing::Suspect {
+                mark.left_ms.min(self.lasts_ms(standing))
+            } else {
+                self.lasts_ms(standing)
+            };
+            let until = now + ms(left_ms);
             let stays = match self.held(now, mark.fingerprint) {
                 Some(held) if held.standing == Standing::Acquitted => !mark.convicted,
                 Some(held) => (held.standing, held.until) >= (standing, until),
                 None => false,
             };
             if !stays {
-                let crash_id = mark.crash_id;
+                let Mark { crash_id, sole, .. } = *mark;
                 self.insert(
                     now,
                     mark.fingerprint,
@@ -197,12 +226,23 @@
                         standing,
                         until,
                         crash_id,
+                        sole,
                     },
                 );
             }
         }
     }
 
+    /// Whether the mark tells of another crash than the one held here, one of
+    /// them with nothing else running.
+    fn is_second_crash(&self, now: Instant, mark: &Mark) -> bool {
+        self.held(now, mark.fingerprint).is_some_and(|held| {
+            held.standing == Standing::Suspect
+                && held.crash_id != mark.crash_id
+                && (held.sole || mark.sole)
+        })
+    }
+
     fn held(&self, now: Instant, fingerprint: Fingerprint) -> Option<Held> {
         self.marks
             .get(&fingerprint)
@@ -217,17 +257,21 @@
         }
     }
 
-    fn put(&mut self, now: Instant, fingerprint: Fingerprint, standing: Standing, crash_id: u64) {
-        let until = now + ms(self.lasts_ms(standing));
-        self.insert(
-            now,
-            fingerprint,
-            Held {
-                standing,
-                until,
-                crash_id,
-            },
-        );
+    fn put(
+        &mut self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        standing: Standing,
+        crash_id: u64,
+        sole: bool,
+    ) {
+        let held = Held {
+            standing,
+            until: now + ms(self.lasts_ms(standing)),
+            crash_id,
+            sole,
+        };
+        self.insert(now, fingerprint, held);
     }
 
     fn insert(&mut self, now: Instant, fingerprint: Fingerprint, mark: Held) {
--- a/crates/rig/tests/departures.rs
+++ b/crates/rig/tests/departures.rs
@@ -127,7 +127,12 @@
         .position(|b| b.service.as_str() == "terminy");
     let mut server = site.backends.remove(at.unwrap());
     let drain = async {
-        until_started(&site, 50).await;
+        // The owner of this server may hand it all of the load.
+        let is_under_way = || async {
+            let own = server.stats().await.map_or(0, |s| s.started);
+            (own + started(&site).await >= 50).then_some(())
+        };
+        wait_until("load is under way", is_under_way).await.unwrap();
         server.process.terminate().unwrap();
         server.process.ended(EXIT_WAIT).await.unwrap()
     };
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -284,6 +284,9 @@
     /// Time that the mark still holds, milliseconds.
     #[prost(uint64, tag = "4")]
     pub left_ms: u64,
+    /// Whether nothing else ran when the server crashed.
+    #[prost(bool, tag = "5")]
+    pub sole: bool,
 }
 
 impl From<&Error> for Refusal {
