Take only pooled connections for silent

Cause: a slow answer over a connection that was opened for it was given up at half of its time (terminated_entry_vm_cuts_no_request: 502 at 700 ms of work).

--- a/crates/entry/src/arrival.rs
+++ b/crates/entry/src/arrival.rs
@@ -1,6 +1,7 @@
 //! Work that another entry VM hands over on a credit.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 use admit::CreditId;
 use hyper::header::HeaderMap;
@@ -98,6 +99,7 @@
             fence: self.fence,
             fingerprint: work.fingerprint,
             fresh: false,
+            reused: AtomicBool::new(false),
         };
         let place = Place::Here(slot.with_alone(alone));
         let sent = send(state, place, work, &message).await;
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at a backend server, or at the entry VM that owns one.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -38,6 +39,8 @@
     pub fingerprint: Fingerprint,
     /// Whether a new connection carries it, since pooled ones may be silent.
     pub fresh: bool,
+    /// Set when a pooled connection carries it.
+    pub reused: AtomicBool,
 }
 
 /// An answer whose body is still to be read.
@@ -117,6 +120,9 @@
 ) -> Result<Answered, Failure> {
     let peer = place.peer().map_err(Failure::not_run)?;
     let mut flow = connect(state, place, &peer, work, message.fresh).await?;
+    message
+        .reused
+        .store(flow.connection.reused, Ordering::Relaxed);
     let sent_at = Instant::now();
     let sending = hand_over(state, &mut flow, message);
     let answer = match timeout_at(message.deadline, sending).await {
--- a/crates/entry/src/booking/exchange.rs
+++ b/crates/entry/src/booking/exchange.rs
@@ -1,6 +1,7 @@
 //! One operation at a backend server, over a connection that was opened just now.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -84,6 +85,7 @@
             fence: Some(right.fence),
             fingerprint: self.work.fingerprint,
             fresh: false,
+            reused: AtomicBool::new(false),
         };
         message.http(&self.state, &flow.place, &flow.peer)
     }
--- a/crates/entry/src/tries.rs
+++ b/crates/entry/src/tries.rs
@@ -1,6 +1,7 @@
 //! The attempts that one piece of work gets: retries and hedges on their budgets.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use pick::{BudgetSettings, Hedge, HedgeSettings, Outcome, Retry, RetryBudget, Work};
@@ -155,7 +156,8 @@
         let started_at = Instant::now();
         let (server, peer) = (place.server().cloned(), place.peer().ok());
         let first_id = format!("{}-{attempts}", self.id);
-        let first = self.attempt(place, work, &first_id, fresh);
+        let message = self.message(work, &first_id, fresh);
+        let first = send(self.state, place, work, &message);
         tokio::pin!(first);
         let mut second = None;
         if let (Some(after), Some(server)) = (hedge_after, server) {
@@ -171,6 +173,10 @@
                 if let Ok(result) = timeout_at(until, first.as_mut()).await {
                     return result;
                 }
+                if !message.reused.load(Ordering::Relaxed) {
+                    // A new connection is not lost; its answer is only slow.
+                    return first.await;
+                }
                 until = Instant::now() + LOOK_AGAIN;
                 second = self.second_slot(work, attempts);
                 if second.is_none() && !self.is_heard(peer.as_ref(), started_at) {
@@ -185,7 +191,8 @@
             return first.await;
         };
         let second_id = format!("{first_id}h");
-        let second = self.attempt(Place::Here(slot), work, &second_id, true);
+        let second_message = self.message(work, &second_id, true);
+        let second = send(self.state, Place::Here(slot), work, &second_message);
         tokio::pin!(second);
         let result = tokio::select! {
             result = &mut first => match result {
@@ -249,22 +256,16 @@
         None
     }
 
-    async fn attempt(
-        &self,
-        place: Place,
-        work: &Work,
-        id: &str,
-        fresh: bool,
-    ) -> Result<Answered, Failure> {
-        let message = Message {
+    fn message<'a>(&'a self, work: &Work, id: &'a str, fresh: bool) -> Message<'a> {
+        Message {
             ask: self.ask,
             id,
             deadline: self.deadline,
             fence: None,
             fingerprint: work.fingerprint,
             fresh,
-        };
-        send(self.state, place, work, &message).await
+            reused: AtomicBool::new(false),
+        }
     }
 }
 
