--- a/crates/peers/tests/owner.rs
+++ b/crates/peers/tests/owner.rs
@@ -86,6 +86,47 @@
     insta::assert_snapshot!(rows.join("\n"));
 }
 
+#[test]
+fn agreement_ends_the_wait_and_a_loss_does_not() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mine = (0..100)
+        .map(server)
+        .find(|s| owner(s, &[vm(0), vm(1)]) == Some(&vm(0)))
+        .expect("a server of entry-0");
+    let mut first = Owners::new(vm(0), LEASE, start);
+    let mut second = Owners::new(vm(1), LEASE, start);
+    first.look(at(0), sight(&[0, 1], Some(at(0))));
+    second.look(at(0), sight(&[0, 1], Some(at(0))));
+    let mut rows = vec![format!(
+        "alone: {:?}",
+        first.right(at(100), &mine) == Right::Owner
+    )];
+    let digest = second.digest(at(500)).expect("nothing was lost");
+    first.agree(at(500), &vm(1), digest);
+    rows.push(format!(
+        "agreed: {:?}",
+        first.right(at(501), &mine) == Right::Owner
+    ));
+    second.look(at(600), sight(&[1], Some(at(600))));
+    rows.push(format!(
+        "tells while a right is left: {:?}",
+        second.digest(at(700)).is_some()
+    ));
+    rows.push(format!(
+        "tells after a lease: {:?}",
+        second.digest(at(3_600)).is_some()
+    ));
+    let digest = second.digest(at(3_600)).expect("the lease is over");
+    first.look(at(3_600), sight(&[0, 1, 2], Some(at(3_600))));
+    first.agree(at(3_700), &vm(1), digest);
+    rows.push(format!(
+        "other sight: {:?}",
+        first.right(at(3_701), &server(0)) == Right::Owner
+    ));
+    insta::assert_snapshot!(rows.join("\n"));
+}
+
 #[test]
 fn a_frozen_owner_has_no_right_when_it_thaws() {
     let start = Instant::now();
@@ -112,8 +153,10 @@
     fn at_most_one_holds_the_right(
         cuts in prop::collection::vec((0usize..3, 1u64..40, 1u64..20), 0..6),
         lags in prop::collection::vec(0u64..10, 3),
+        delays in prop::collection::vec(0u64..8, 3),
     ) {
         let start = Instant::now();
+        let mut told: Vec<(u64, usize, u64)> = Vec::new();
         let mut owners: Vec<Owners> = (0..3).map(|i| Owners::new(vm(i), LEASE, start)).collect();
         for step in 0u64..600 {
             let now = start + Duration::from_millis(step * 100);
@@ -136,6 +179,23 @@
                 let heard_at = now - Duration::from_millis(alone.unwrap_or(0) * 100);
                 owner.look(now, sight(&live, Some(heard_at)));
             }
+            // Digests that VMs tell each other arrive late, or never in a cut.
+            for (index, owner) in owners.iter().enumerate() {
+                if let Some(digest) = owner.digest(now).filter(|_| step % 5 == 0) {
+                    told.push((step + delays[index], index, digest));
+                }
+            }
+            let (arrived, on_the_way) = told.into_iter().partition(|t| t.0 <= step);
+            told = on_the_way;
+            let arrived: Vec<(u64, usize, u64)> = arrived;
+            for (_, from, digest) in arrived {
+                let reached = |to: &usize| {
+                    *to != from && cut_since(*to, step).is_none() && cut_since(from, step).is_none()
+                };
+                for to in (0..3).filter(reached) {
+                    owners[to].agree(now, &vm(from), digest);
+                }
+            }
             for server in (0..6).map(server) {
                 let holders = owners
                     .iter_mut()
