--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -2,6 +2,8 @@
 //!
 //! Lock order within the gate: shares, limits or queues, then credits, then the fleet.
 
+mod marks;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -9,11 +11,11 @@
 use admit::queue::{late_error, shed_error};
 use admit::{CreditId, Grant, Limits, Pass, Queue, Waiting};
 use conf::PolicySettings;
-use pick::{Fleet, Mark, NoSlot, Outcome, Permit, Poison, SharedFleet, Verdict, Work};
+use pick::{Fleet, NoSlot, Outcome, Permit, Poison, SharedFleet, Work};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, timeout_at};
 use world::{
-    BackendServer, Class, Config, Contract, Error, Kind, MachineName, Rank, Ranked, RegionName,
+    BackendServer, Class, Config, Contract, Error, MachineName, Rank, Ranked, RegionName,
     ServiceName,
 };
 
@@ -117,14 +119,6 @@
         self.shares.lock().report(now, vm, seen);
     }
 
-    /// Whether the work must run alone.
-    ///
-    /// # Errors
-    /// [`world::Kind::Poison`] when it crashed backend servers.
-    pub fn alone(&self, now: Instant, fingerprint: pick::Fingerprint) -> Result<bool, Error> {
-        self.poison.lock().check(now, fingerprint).alone()
-    }
-
     /// Grants or renews a backend server's lease; this VM owns it from `owned_from` on.
     pub fn announce(
         self: &Arc<Self>,
@@ -285,56 +279,6 @@
         }
     }
 
-    /// Marks of requests that crashed backend servers, for other entry VMs.
-    #[must_use]
-    pub fn marks(&self, now: Instant) -> Vec<Mark> {
-        self.poison.lock().marks(now)
-    }
-
-    /// Takes in that two servers broke off while they ran the same request;
-    /// gives what its caller is told.
-    pub fn broke_twice(&self, now: Instant, fingerprint: pick::Fingerprint) -> Error {
-        self.poison.lock().broke_twice(now, fingerprint);
-        self.news.notify_one();
-        Error::new(
-            Kind::Poison,
-            "two backend servers broke off while they ran it",
-        )
-    }
-
-    /// Waits for something that other entry VMs should know at once.
-    pub async fn news(&self) {
-        self.news.notified().await;
-    }
-
-    /// The mark of one request.
-    #[must_use]
-    pub fn mark(&self, now: Instant, fingerprint: pick::Fingerprint) -> Option<Mark> {
-        let marks = self.poison.lock().marks(now);
-        marks.into_iter().find(|m| m.fingerprint == fingerprint)
-    }
-
-    /// Takes in other entry VMs' marks.
-    pub fn merge_marks(&self, now: Instant, marks: &[Mark]) {
-        self.poison.lock().merge(now, marks);
-    }
-
-    /// Whether a request is marked.
-    #[must_use]
-    pub fn verdict(&self, now: Instant, fingerprint: pick::Fingerprint) -> Verdict {
-        self.poison.lock().check(now, fingerprint)
-    }
-
-    fn blame(&self, now: Instant, crashes: &[pick::Crash]) {
-        for crash in crashes {
-            log::warn!(target: "entry", crash = crash.id, ran = crash.ran.len(); "backend server crashed");
-            self.poison.lock().crashed(now, crash);
-        }
-        if !crashes.is_empty() {
-            self.news.notify_one();
-        }
-    }
-
     fn slot(self: &Arc<Self>, service: &ServiceName, permit: Permit) -> Slot {
         Slot::new(Arc::clone(self), service.clone(), permit)
     }
--- a/crates/pick/src/poison.rs
+++ b/crates/pick/src/poison.rs
@@ -182,22 +182,25 @@
     /// Marks in force, for other entry VMs, by fingerprint.
     #[must_use]
     pub fn marks(&self, now: Instant) -> Vec<Mark> {
-        let mut marks: Vec<_> = self
-            .marks
-            .iter()
-            .filter(|(_, held)| held.standing != Standing::Acquitted && now < held.until)
-            .map(|(fingerprint, held)| Mark {
-                fingerprint: *fingerprint,
-                convicted: held.standing == Standing::Convicted,
-                crash_id: held.crash_id,
-                sole: held.sole,
-                left_ms: as_ms(held.until - now),
-            })
-            .collect();
+        let fingerprints = self.marks.keys().copied();
+        let mut marks: Vec<_> = fingerprints.filter_map(|f| self.mark(now, f)).collect();
         marks.sort_unstable_by_key(|m| m.fingerprint);
         marks
     }
 
+    /// The mark in force for one request, for another entry VM.
+    #[must_use]
+    pub fn mark(&self, now: Instant, fingerprint: Fingerprint) -> Option<Mark> {
+        let held = self.held(now, fingerprint)?;
+        (held.standing != Standing::Acquitted).then(|| Mark {
+            fingerprint,
+            convicted: held.standing == Standing::Convicted,
+            crash_id: held.crash_id,
+            sole: held.sole,
+            left_ms: as_ms(held.until - now),
+        })
+    }
+
     /// Takes in another entry VM's marks; the graver and longer mark stays.
     pub fn merge(&mut self, now: Instant, marks: &[Mark]) {
         for mark in marks {
--- a/crates/waxwingctl/src/http.rs
+++ b/crates/waxwingctl/src/http.rs
@@ -42,21 +42,26 @@
     sender: SendRequest<Full<Bytes>>,
 }
 
+fn unreachable(addr: SocketAddr, error: &impl fmt::Display) -> Failure {
+    Failure::Unreachable(format!("{addr}: {error}"))
+}
+
 impl Connection {
     /// Connects, waiting until `until` at most.
     ///
     /// # Errors
     /// [`Failure::Unreachable`] or [`Failure::Timeout`].
     pub async fn new(addr: SocketAddr, until: Instant) -> Result<Self, Failure> {
-        let unreachable = |e: &dyn fmt::Display| Failure::Unreachable(format!("{addr}: {e}"));
         let stream = timeout_at(until, TcpStream::connect(addr))
             .await
             .map_err(|_| Failure::Timeout)?
-            .map_err(|e| unreachable(&e))?;
-        stream.set_nodelay(true).map_err(|e| unreachable(&e))?;
+            .map_err(|e| unreachable(addr, &e))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|e| unreachable(addr, &e))?;
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
-            .map_err(|e| unreachable(&e))?;
+            .map_err(|e| unreachable(addr, &e))?;
         tokio::spawn(async move {
             if let Err(e) = driver.await {
                 log::debug!("connection to {addr} ended: {e}");
