--- a/crates/entry/src/tries.rs
+++ b/crates/entry/src/tries.rs
@@ -1,5 +1,6 @@
 //! The attempts that one piece of work gets: retries and hedges on their budgets.
 
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -80,6 +81,24 @@
     fresh: bool,
 }
 
+/// What is known of an attempt that is late.
+struct Watch<'a> {
+    /// Whether a pooled connection carries it.
+    reused: &'a AtomicBool,
+    /// Where its connection leads.
+    peer: Option<&'a Peer>,
+    started_at: Instant,
+    attempts: u32,
+}
+
+/// How the wait for a late attempt ended.
+enum Late {
+    /// The attempt ended, or is given up.
+    Ended(Box<Result<Answered, Failure>>),
+    /// A second attempt may be made beside it.
+    Second(Slot),
+}
+
 impl Tries<'_> {
     /// Makes attempts until one is answered well, or no further one is allowed.
     ///
@@ -168,23 +187,15 @@
             second = self.hedge_slot(&work.clone().with_avoid(server));
         }
         if second.is_none() && work.idempotent && !work.alone {
-            let mut until = started_at + self.patience(work);
-            while second.is_none() && until < self.deadline {
-                if let Ok(result) = timeout_at(until, first.as_mut()).await {
-                    return result;
-                }
-                if !message.reused.load(Ordering::Relaxed) {
-                    // A new connection is not lost; its answer is only slow.
-                    return first.await;
-                }
-                until = Instant::now() + LOOK_AGAIN;
-                second = self.second_slot(work, attempts);
-                if second.is_none() && !self.is_heard(peer.as_ref(), started_at) {
-                    return Err(silent());
-                }
-            }
-            if let Some(peer) = &peer {
-                self.state.pool.silent(peer, started_at);
+            let watch = Watch {
+                reused: &message.reused,
+                peer: peer.as_ref(),
+                started_at,
+                attempts,
+            };
+            match self.late(first.as_mut(), work, &watch).await {
+                Late::Ended(result) => return *result,
+                Late::Second(slot) => second = Some(slot),
             }
         }
         let Some(slot) = second else {
@@ -193,21 +204,40 @@
         let second_id = format!("{first_id}h");
         let second_message = self.message(work, &second_id, true);
         let second = send(self.state, Place::Here(slot), work, &second_message);
-        tokio::pin!(second);
-        let result = tokio::select! {
-            result = &mut first => match result {
-                Ok(answered) => Ok(answered),
-                Err(_) => second.await,
-            },
-            result = &mut second => match result {
-                Ok(answered) => Ok(answered),
-                Err(_) => first.await,
-            },
-        };
+        let result = first_good(first, second).await;
         self.state.budgets.record(service, started_at.elapsed());
         result
     }
 
+    /// Waits for an attempt that may have met a silent connection, until it
+    /// ends or there is a slot for a second one beside it.
+    async fn late<F>(&self, mut first: Pin<&mut F>, work: &Work, watch: &Watch<'_>) -> Late
+    where
+        F: Future<Output = Result<Answered, Failure>>,
+    {
+        let mut until = watch.started_at + self.patience(work);
+        while until < self.deadline {
+            if let Ok(result) = timeout_at(until, first.as_mut()).await {
+                return Late::Ended(Box::new(result));
+            }
+            if !watch.reused.load(Ordering::Relaxed) {
+                // A new connection is not lost; its answer is only slow.
+                break;
+            }
+            if let Some(slot) = self.second_slot(work, watch.attempts) {
+                if let Some(peer) = watch.peer {
+                    self.state.pool.silent(peer, watch.started_at);
+                }
+                return Late::Second(slot);
+            }
+            if !self.is_heard(watch.peer, watch.started_at) {
+                return Late::Ended(Box::new(Err(silent())));
+            }
+            until = Instant::now() + LOOK_AGAIN;
+        }
+        Late::Ended(Box::new(first.await))
+    }
+
     /// Whether the server has answered anything since the attempt began. Where
     /// it has not, and every slot waits, the connections are taken for lost.
     fn is_heard(&self, peer: Option<&Peer>, started_at: Instant) -> bool {
@@ -291,6 +321,25 @@
     }
 }
 
+/// The first good answer of two attempts; the other is dropped.
+async fn first_good<A, B>(mut first: Pin<&mut A>, second: B) -> Result<Answered, Failure>
+where
+    A: Future<Output = Result<Answered, Failure>>,
+    B: Future<Output = Result<Answered, Failure>>,
+{
+    tokio::pin!(second);
+    tokio::select! {
+        result = &mut first => match result {
+            Ok(answered) => Ok(answered),
+            Err(_) => second.await,
+        },
+        result = &mut second => match result {
+            Ok(answered) => Ok(answered),
+            Err(_) => first.await,
+        },
+    }
+}
+
 /// No place for a further attempt: what the last one failed by counts.
 fn give_up(last: Option<Failure>, error: Error) -> Result<Answered, Error> {
     match last {
