Refuse by the plan of shifts only where no slot is free

Cause: steering believes a fall of demand only after 30 s, so after an overload the front went on to refuse by plan while its servers stood half idle. Ruled out: a shorter window (it keeps shifts from swinging with late reports).

--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, timeout_at};
 use world::{
-    BackendServer, Class, Config, Contract, Error, MachineName, Rank, Ranked, RegionName,
+    BackendServer, Class, Config, Contract, Error, MachineName, Rank, Ranked, RegionName, Service,
     ServiceName,
 };
 
@@ -234,6 +234,13 @@
         (grant, slots.all)
     }
 
+    /// Whether work of the service would get a slot now, before nobody else.
+    #[must_use]
+    pub fn has_room(&self, service: &Service) -> bool {
+        let is_idle = self.waiting(&service.name) == 0;
+        is_idle && self.fits(Instant::now(), &service.name, service.class)
+    }
+
     /// Work that waits for a service.
     #[must_use]
     pub fn waiting(&self, service: &ServiceName) -> usize {
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -94,8 +94,12 @@
         let answered = arrival.run(state, &ask, &contract, &work, deadline).await?;
         return Ok(passed_on(answered, None));
     }
-    if let Some(client) = client {
-        state.arrived(client, &contract)?;
+    if let Some(client) = client
+        && let Err(refused) = state.arrived(client, &contract)
+        && !state.gate.has_room(&contract.service)
+    {
+        // What the plan of shifts has no room for may have found some since.
+        return Err(refused);
     }
     let admitted = state.gate.pass(Instant::now(), &contract);
     if booking::concerns(&ask, &contract) {
