--- /dev/null
+++ b/crates/catalog/src/state.rs
@@ -0,0 +1,258 @@
+//! The state machine of the catalog.
+
+use std::collections::BTreeMap;
+
+use quorum::Machine;
+use serde::{Deserialize, Serialize};
+use world::{DomainName, Error, Kind, Result, ServerName};
+
+use crate::command::{Command, Patch};
+use crate::item::{Body, Item, ItemKey};
+
+/// Leaving backend servers that are remembered; the oldest are forgotten
+/// first. A release of a whole site of 600 servers fits several times.
+pub const LEAVING_MAX: usize = 4_096;
+
+/// What a row of the catalog says.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Fact {
+    /// An item, or that it was taken out.
+    Item {
+        /// Name of the item.
+        key: ItemKey,
+        /// Version that is in force.
+        version: u64,
+        /// The item; `None`: it was taken out.
+        item: Option<Item>,
+    },
+    /// Whether a failure domain is evacuated.
+    Evacuated {
+        /// The failure domain.
+        domain: DomainName,
+        /// Whether it gets no work.
+        on: bool,
+    },
+    /// A backend server leaves.
+    Leaving {
+        /// The server.
+        server: ServerName,
+        /// Its start, Unix milliseconds.
+        born_ms: u64,
+    },
+}
+
+/// A row with the index of the command that set it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Row {
+    /// Index in the log.
+    pub index: u64,
+    /// What it says.
+    pub fact: Fact,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct Held {
+    index: u64,
+    version: u64,
+    item: Option<Item>,
+}
+
+/// The replicated catalog.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Catalog {
+    index: u64,
+    items: BTreeMap<ItemKey, Held>,
+    evacuated: BTreeMap<DomainName, (u64, bool)>,
+    leaving: BTreeMap<ServerName, (u64, u64)>,
+}
+
+impl Catalog {
+    /// Index of the last command that changed something.
+    #[must_use]
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// Whether any item was ever set.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// The items in force.
+    pub fn items(&self) -> impl Iterator<Item = &Item> {
+        self.items.values().filter_map(|held| held.item.as_ref())
+    }
+
+    /// Whether this start of a backend server, or a later one, is known to leave.
+    #[must_use]
+    pub fn leaves(&self, server: &ServerName, born_ms: u64) -> bool {
+        let row = self.leaving.get(server);
+        row.is_some_and(|(_, born)| *born >= born_ms)
+    }
+
+    /// Whether a failure domain is evacuated.
+    #[must_use]
+    pub fn evacuates(&self, domain: &DomainName) -> bool {
+        self.evacuated.get(domain).is_some_and(|(_, on)| *on)
+    }
+
+    /// Rows set after `index`.
+    #[must_use]
+    pub fn since(&self, index: u64) -> Vec<Row> {
+        let items = self.items.iter().map(|(key, held)| {
+            let fact = Fact::Item {
+                key: key.clone(),
+                version: held.version,
+                item: held.item.clone(),
+            };
+            Row {
+                index: held.index,
+                fact,
+            }
+        });
+        let evacuated = self.evacuated.iter().map(|(domain, (index, on))| Row {
+            index: *index,
+            fact: Fact::Evacuated {
+                domain: domain.clone(),
+                on: *on,
+            },
+        });
+        let leaving = self.leaving.iter().map(|(server, (index, born_ms))| Row {
+            index: *index,
+            fact: Fact::Leaving {
+                server: server.clone(),
+                born_ms: *born_ms,
+            },
+        });
+        let rows = items.chain(evacuated).chain(leaving);
+        rows.filter(|row| row.index > index).collect()
+    }
+
+    /// Takes in a row of another copy. Gives whether it changed something.
+    pub fn merge(&mut self, row: Row) -> bool {
+        self.index = self.index.max(row.index);
+        match row.fact {
+            Fact::Item { key, version, item } => {
+                let known = self.items.get(&key);
+                if known.is_some_and(|held| held.version >= version) {
+                    return false;
+                }
+                let index = row.index;
+                let held = Held {
+                    index,
+                    version,
+                    item,
+                };
+                self.items.insert(key, held);
+                true
+            }
+            Fact::Evacuated { domain, on } => {
+                let known = self.evacuated.get(&domain);
+                if known.is_some_and(|(index, _)| *index >= row.index) {
+                    return false;
+                }
+                self.evacuated.insert(domain, (row.index, on));
+                true
+            }
+            Fact::Leaving { server, born_ms } => self.leave(server, born_ms, row.index),
+        }
+    }
+
+    fn leave(&mut self, server: ServerName, born_ms: u64, index: u64) -> bool {
+        if self.leaves(&server, born_ms) {
+            return false;
+        }
+        self.leaving.insert(server, (index, born_ms));
+        while self.leaving.len() > LEAVING_MAX {
+            let oldest = self.leaving.iter().min_by_key(|(_, (index, _))| *index);
+            let Some(name) = oldest.map(|(name, _)| name.clone()) else {
+                break;
+            };
+            self.leaving.remove(&name);
+        }
+        true
+    }
+
+    /// Checks a patch against the items in force.
+    ///
+    /// # Errors
+    /// [`Kind::BadLists`] with what is wrong.
+    pub fn check(&self, patch: &Patch) -> Result<()> {
+        for item in &patch.upserts {
+            item.check()?;
+        }
+        let names = |item: &Item, key: &ItemKey| item.key() == *key;
+        for item in patch.upserts.iter().filter(|item| self.is_newer(item)) {
+            let Body::Route(route) = &item.body else {
+                continue;
+            };
+            for part in &route.parts {
+                let key = ItemKey::Service(part.service.clone());
+                let held = self.items.get(&key).is_some_and(|h| h.item.is_some());
+                if !held && !patch.upserts.iter().any(|i| names(i, &key)) {
+                    let text = format!("route {}: no service {}", route.name, part.service);
+                    return Err(Error::new(Kind::BadLists, text));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn is_newer(&self, item: &Item) -> bool {
+        let held = self.items.get(&item.key());
+        held.is_none_or(|held| held.version < item.version)
+    }
+
+    fn patch(&mut self, index: u64, patch: Patch) -> Result<()> {
+        self.check(&patch)?;
+        let upserts = patch.upserts.into_iter().map(|item| {
+            let (key, version) = (item.key(), item.version);
+            (key, version, Some(item))
+        });
+        let removals = patch.removals.into_iter();
+        let removals = removals.map(|removal| (removal.key, removal.version, None));
+        for (key, version, item) in upserts.chain(removals).collect::<Vec<_>>() {
+            let fact = Fact::Item { key, version, item };
+            self.merge(Row { index, fact });
+        }
+        Ok(())
+    }
+}
+
+impl Machine for Catalog {
+    type Output = Result<()>;
+
+    fn apply(&mut self, index: u64, command: &[u8]) -> Result<()> {
+        let command = postcard::from_bytes(command)
+            .map_err(|error| Error::new(Kind::Damaged, error.to_string()))?;
+        match command {
+            Command::Patch(patch) => self.patch(index, patch),
+            Command::Evacuate { domain, on } => {
+                if self.evacuates(&domain) != on {
+                    let fact = Fact::Evacuated { domain, on };
+                    self.merge(Row { index, fact });
+                }
+                Ok(())
+            }
+            Command::Leave { server, born_ms } => {
+                let fact = Fact::Leaving { server, born_ms };
+                self.merge(Row { index, fact });
+                Ok(())
+            }
+        }
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_else(|error| {
+            log::error!(target: "catalog", error:% = error; "the catalog could not be encoded");
+            Vec::new()
+        })
+    }
+
+    fn restore(&mut self, bytes: &[u8]) -> Result<()> {
+        *self = postcard::from_bytes(bytes)
+            .map_err(|error| Error::new(Kind::Damaged, error.to_string()))?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/catalog/src/table.rs
@@ -0,0 +1,84 @@
+//! Look-up of routes: what an entry VM asks for each request.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use world::{DomainName, HostName, Limits, Route, ServiceName, ServiceTerms};
+
+use crate::item::Body;
+use crate::state::Catalog;
+
+/// Routes by host, longest prefix first, with the terms of services.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    hosts: HashMap<HostName, Vec<Arc<Route>>>,
+    services: HashMap<ServiceName, Arc<ServiceTerms>>,
+    limits: Option<Limits>,
+    evacuated: Vec<DomainName>,
+    known: bool,
+}
+
+impl Table {
+    /// The table of what the catalog holds in force.
+    #[must_use]
+    pub fn new(catalog: &Catalog, domains: impl IntoIterator<Item = DomainName>) -> Self {
+        let mut table = Self {
+            known: !catalog.is_empty(),
+            ..Self::default()
+        };
+        for item in catalog.items() {
+            match &item.body {
+                Body::Route(route) => {
+                    let routes = table.hosts.entry(route.host.clone()).or_default();
+                    routes.push(Arc::clone(route));
+                }
+                Body::Service(terms) => {
+                    table.services.insert(terms.name.clone(), Arc::clone(terms));
+                }
+                Body::Limits(limits) => table.limits = Some(*limits),
+            }
+        }
+        for routes in table.hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let evacuated = domains.into_iter().filter(|d| catalog.evacuates(d));
+        table.evacuated = evacuated.collect();
+        table
+    }
+
+    /// Whether any configuration is known.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.known
+    }
+
+    /// The route of a request: the longest prefix that begins its path.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.hosts.get(host)?;
+        routes.iter().find(|r| path.starts_with(&*r.prefix))
+    }
+
+    /// Terms of a service.
+    #[must_use]
+    pub fn terms(&self, service: &ServiceName) -> Option<&Arc<ServiceTerms>> {
+        self.services.get(service)
+    }
+
+    /// Terms of all services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceTerms>> {
+        self.services.values()
+    }
+
+    /// Bounds on callers, once they are known.
+    #[must_use]
+    pub fn limits(&self) -> Option<Limits> {
+        self.limits
+    }
+
+    /// Failure domains that get no work.
+    #[must_use]
+    pub fn evacuated(&self) -> &[DomainName] {
+        &self.evacuated
+    }
+}
--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use quorum::{Batch, Disk, Done, Envelope, Machine, Outcome, Replica, ReplicaStatus};
 use quorum::{Settings, Ticket};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 use world::{Error, Kind, MachineName, Rank, Ranked, Result};
@@ -36,6 +36,7 @@
 struct After<M: Machine> {
     messages: Vec<Envelope>,
     ended: Vec<(Answer<M>, Ended<M>)>,
+    applied: u64,
 }
 
 /// One running replica of a group.
@@ -43,6 +44,7 @@
     table: Ranked<Table<M>>,
     courier: C,
     records: Notify,
+    applied: watch::Sender<u64>,
     tasks: OnceLock<[JoinHandle<()>; 2]>,
 }
 
@@ -74,6 +76,7 @@
             table: Ranked::new(Rank::Log, table),
             courier,
             records: Notify::new(),
+            applied: watch::Sender::new(0),
             tasks: OnceLock::new(),
         });
         let ticks = tokio::spawn(Arc::clone(&group).tick_on(tick));
@@ -138,6 +141,17 @@
         self.table.lock().replica.leader().cloned()
     }
 
+    /// Index up to which the machine has applied the log, as it grows.
+    pub fn applied(&self) -> watch::Receiver<u64> {
+        self.applied.subscribe()
+    }
+
+    /// Whether this replica leads, or has heard of a leader within the least
+    /// election timeout.
+    pub fn is_current(&self) -> bool {
+        self.table.lock().replica.hears_leader(Instant::now())
+    }
+
     /// Whether this replica leads.
     pub fn is_leader(&self) -> bool {
         self.table.lock().replica.is_leader()
@@ -188,6 +202,11 @@
 
     fn carry(&self, after: After<M>) {
         self.records.notify_one();
+        self.applied.send_if_modified(|applied| {
+            let grew = *applied != after.applied;
+            *applied = after.applied;
+            grew
+        });
         for envelope in after.messages {
             match postcard::to_stdvec(&envelope) {
                 Ok(payload) => self.courier.send(&envelope.to_name, payload.into()),
@@ -253,6 +272,11 @@
                 ended.push((answer, result));
             }
         }
-        After { messages, ended }
+        let applied = self.replica.applied();
+        After {
+            messages,
+            ended,
+            applied,
+        }
     }
 }
--- /dev/null
+++ b/crates/forward/src/follow.rs
@@ -0,0 +1,258 @@
+//! Follows one control VM, and moves to another when it falls silent, is cut
+//! off from the others, or lags.
+
+use std::collections::BTreeSet;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hub::{Ask, Give, Reader};
+use peers::{Identity, Links, Serve};
+use rand::seq::IndexedRandom;
+use roster::{News, Row};
+use tokio::time::{Instant, sleep};
+use wire::Body;
+use wire::body::Feed;
+use world::unit::as_ms;
+use world::{MachineName, Rank, Ranked, RegionName, Result};
+
+use crate::dialect::Dialect;
+use crate::pause;
+use crate::state::State;
+
+/// Longest wait for an answer: half a second for which a hub waits for news,
+/// and the way between two regions with a lost packet.
+const PATIENCE: Duration = Duration::from_millis(900);
+
+/// Pause after a question that was not answered.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Pause of the whole machine after which nothing is known of connections.
+const PAUSE_MAX: Duration = Duration::from_secs(1);
+
+/// Time between two looks at tables and clocks.
+const TEND_EVERY: Duration = Duration::from_millis(500);
+
+/// Serves nobody: an entry VM only asks.
+struct Silent;
+
+impl Serve for Silent {
+    async fn serve(self: &Arc<Self>, _from: &MachineName, _body: Body) -> Option<Body> {
+        None
+    }
+
+    fn config_version(&self) -> u64 {
+        0
+    }
+
+    fn heard_version(&self, _from: &MachineName, _version: u64) {}
+}
+
+/// A control VM that may be followed.
+#[derive(Clone, Debug)]
+struct Control {
+    ip: IpAddr,
+    region: Option<RegionName>,
+}
+
+/// Follows the control VMs.
+pub struct Follow<D: Dialect> {
+    state: Arc<State<D>>,
+    links: Links<Silent>,
+    controls: Ranked<Vec<Control>>,
+}
+
+/// How far this entry VM is with the hub that it follows.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cursor {
+    boot: u64,
+    roster: u64,
+}
+
+impl<D: Dialect> Follow<D> {
+    /// Follows from the seeds on.
+    ///
+    /// # Errors
+    /// [`world::Kind::BadRequest`] when this machine's name is none.
+    pub fn new(state: Arc<State<D>>) -> Result<Self> {
+        let settings = &state.settings;
+        let identity = Identity::new(settings.spread.name.clone(), settings.secret.clone());
+        let seed = |ip: &IpAddr| Control {
+            ip: *ip,
+            region: None,
+        };
+        let controls = settings.seeds.iter().map(seed).collect();
+        Ok(Self {
+            links: Links::new(identity, Arc::new(Silent)),
+            controls: Ranked::new(Rank::Members, controls),
+            state,
+        })
+    }
+
+    /// Takes in other seeds.
+    pub fn set_seeds(&self, seeds: &[IpAddr]) {
+        let mut controls = self.controls.lock();
+        for ip in seeds {
+            if !controls.iter().any(|c| c.ip == *ip) {
+                controls.push(Control {
+                    ip: *ip,
+                    region: None,
+                });
+            }
+        }
+    }
+
+    /// Follows until the task is dropped.
+    pub async fn run(self: Arc<Self>) {
+        let mut failed = None;
+        loop {
+            let Some(ip) = self.choose(failed) else {
+                sleep(PAUSE).await;
+                continue;
+            };
+            let reason = self.follow(ip).await;
+            log::info!(target: "forward", control:% = ip, reason; "control VM not followed any more");
+            failed = Some(ip);
+            sleep(PAUSE).await;
+        }
+    }
+
+    /// A control VM of the own region, else any; not the one that just failed,
+    /// unless there is no other.
+    fn choose(&self, failed: Option<IpAddr>) -> Option<IpAddr> {
+        let home = &self.state.settings.spread.place.region;
+        let controls = self.controls.lock();
+        let others: Vec<&Control> = controls.iter().filter(|c| Some(c.ip) != failed).collect();
+        let near: Vec<&&Control> = others
+            .iter()
+            .filter(|c| c.region.as_ref() == Some(home))
+            .collect();
+        let mut rng = rand::rng();
+        if failed.is_none()
+            && let Some(control) = near.choose(&mut rng)
+        {
+            return Some(control.ip);
+        }
+        others.choose(&mut rng).map(|c| c.ip).or(failed)
+    }
+
+    /// Follows one control VM; gives why not any longer.
+    async fn follow(&self, ip: IpAddr) -> &'static str {
+        let addr = SocketAddr::new(ip, self.state.settings.link_port);
+        let mut cursor = Cursor::default();
+        let mut followed = false;
+        loop {
+            let Some(give) = self.ask(addr, cursor).await else {
+                return "no answer";
+            };
+            let index = self.state.catalog.lock().index();
+            if !give.current && self.state.table.load().is_known() {
+                return "cut off from the other control VMs";
+            }
+            if give.catalog_index < index {
+                return "behind";
+            }
+            if !followed {
+                log::info!(target: "forward", control:% = ip, index = give.catalog_index; "following");
+                followed = true;
+            }
+            cursor = Cursor {
+                boot: give.boot,
+                roster: give.cursor,
+            };
+            self.take(give);
+        }
+    }
+
+    fn take(&self, give: Give) {
+        let now = Instant::now();
+        if !give.catalog.is_empty() {
+            self.state.merge_catalog(give.catalog);
+        }
+        let mut controls = Vec::new();
+        let mut spread = self.state.spread.lock();
+        if give.whole && give.settled {
+            let kept: BTreeSet<_> = give.news.iter().map(|news| news.row.key()).collect();
+            let gone: Vec<_> = spread
+                .servers()
+                .filter(|(name, _)| !kept.contains(&roster::Key::Server((*name).clone())))
+                .map(|(name, born_ms)| (name.clone(), born_ms))
+                .collect();
+            for (name, born_ms) in gone {
+                spread.lost(&name, born_ms);
+            }
+        }
+        for News { row, age_ms, lost } in give.news {
+            match row {
+                Row::Server(row) if lost => spread.lost(&row.name, row.born_ms),
+                Row::Server(row) => spread.announced(&row, age_ms, now),
+                Row::Entry(row) => spread.entry(&row.name, lost, now),
+                Row::Control(row) if !lost => controls.push(row),
+                Row::Control(_) => {}
+            }
+        }
+        drop(spread);
+        if controls.is_empty() {
+            return;
+        }
+        let mut known = self.controls.lock();
+        for row in controls {
+            known.retain(|c| c.ip != row.link.ip());
+            known.push(Control {
+                ip: row.link.ip(),
+                region: Some(row.place.region),
+            });
+        }
+    }
+
+    async fn ask(&self, addr: SocketAddr, cursor: Cursor) -> Option<Give> {
+        let ask = Ask {
+            reader: Reader::Entry,
+            me: self.state.me(),
+            boot: cursor.boot,
+            cursor: cursor.roster,
+            catalog_index: self.state.catalog.lock().index(),
+        };
+        let payload = hub::feed::encode(&ask)
+            .inspect_err(
+                |e| log::error!(target: "forward", error:% = e; "a question was not encoded"),
+            )
+            .ok()?;
+        let link = self.links.to(addr);
+        match link.call(Body::FeedAsk(Feed { payload }), PATIENCE).await {
+            Ok(Body::FeedGive(give)) => hub::feed::decode(&give.payload)
+                .inspect_err(|e| log::warn!(target: "forward", error:% = e; "unreadable answer"))
+                .ok(),
+            Ok(_) | Err(_) => None,
+        }
+    }
+
+    /// Tells every control VM at once that this entry VM leaves.
+    pub async fn say_leaving(&self) {
+        let ips: Vec<IpAddr> = self.controls.lock().iter().map(|c| c.ip).collect();
+        let asks = ips.into_iter().map(|ip| {
+            let addr = SocketAddr::new(ip, self.state.settings.link_port);
+            self.ask(addr, Cursor::default())
+        });
+        for ask in asks {
+            // Whoever is not reached hears of it from the others.
+            let _ = tokio::time::timeout(PAUSE, ask).await;
+        }
+    }
+}
+
+/// Tends the tables: shares, budgets, idle connections.
+pub async fn tend<D: Dialect>(state: Arc<State<D>>) {
+    let mut clock = pause::Clock::now();
+    loop {
+        sleep(TEND_EVERY).await;
+        state.spread.lock().advance(Instant::now());
+        state.pool.expire();
+        let paused = clock.advance().saturating_sub(TEND_EVERY);
+        if paused > PAUSE_MAX {
+            let paused_ms = as_ms(paused);
+            log::warn!(target: "forward", paused_ms; "this machine stood still; idle connections dropped");
+            state.pool.clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/src/state.rs
@@ -0,0 +1,140 @@
+//! The shared tables of an entry VM.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use arc_swap::ArcSwap;
+use catalog::{Catalog, Table};
+use roster::{EntryRow, Row};
+use spread::Spread;
+use tokio::time::Instant;
+use world::{Rank, Ranked, Route, Secret};
+
+use crate::dialect::{Call, Dialect};
+use crate::explain::{Explain, Outcome};
+use crate::pool::Pool;
+use crate::stats::Stats;
+
+/// Settings of an entry VM of a routed site.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Address that takes callers.
+    pub front: SocketAddr,
+    /// Some control VMs, known from the start.
+    pub seeds: Vec<IpAddr>,
+    /// Port on every control VM for the system's own processes.
+    pub link_port: u16,
+    /// Secret of the deployment.
+    pub secret: Secret,
+    /// Settings of the choice of backend servers.
+    pub spread: spread::Settings,
+}
+
+/// The tables.
+pub struct State<D: Dialect> {
+    /// Settings.
+    pub settings: Settings,
+    /// How requests and answers are written.
+    pub dialect: D,
+    /// Routes in force.
+    pub table: ArcSwap<Table>,
+    /// The catalog as far as it is known here.
+    pub catalog: Ranked<Catalog>,
+    /// Backend servers.
+    pub spread: Ranked<Spread>,
+    /// Idle connections.
+    pub pool: Pool,
+    /// Counters and histograms.
+    pub stats: Stats,
+    explain: Explain,
+    leaving: AtomicBool,
+    boot: u64,
+    sequence: AtomicU64,
+}
+
+impl<D: Dialect> State<D> {
+    /// Tables of an entry VM that knows nothing yet.
+    ///
+    /// # Errors
+    /// When the counters can't be set up.
+    pub fn new(settings: Settings, dialect: D) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            dialect,
+            table: ArcSwap::default(),
+            catalog: Ranked::new(Rank::Config, Catalog::default()),
+            spread: Ranked::new(Rank::Spread, Spread::new(settings.spread.clone())),
+            pool: Pool::default(),
+            stats: Stats::new()?,
+            explain: Explain::default(),
+            leaving: AtomicBool::new(false),
+            boot: rand::random::<u64>().max(1),
+            sequence: AtomicU64::new(1),
+            settings,
+        })
+    }
+
+    /// Whether this entry VM serves callers: it knows a configuration and is
+    /// not leaving.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.table.load().is_known()
+    }
+
+    /// Whether this entry VM is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// From now on callers are told to go elsewhere.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// This entry VM as it announces itself.
+    pub fn me(&self) -> Row {
+        Row::Entry(EntryRow {
+            name: self.settings.spread.name.clone(),
+            front: self.settings.front,
+            place: self.settings.spread.place.clone(),
+            leaving: !self.is_ready(),
+            born_ms: self.boot,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
+        })
+    }
+
+    /// Takes in rows of the catalog.
+    pub fn merge_catalog(&self, rows: Vec<catalog::Row>) {
+        let now = Instant::now();
+        let mut catalog = self.catalog.lock();
+        let mut routes_changed = false;
+        let mut leaving = Vec::new();
+        for row in rows {
+            if let catalog::Fact::Leaving { server, born_ms } = &row.fact {
+                leaving.push((server.clone(), *born_ms));
+            } else {
+                routes_changed |= catalog.merge(row);
+                continue;
+            }
+            catalog.merge(row);
+        }
+        let table = routes_changed.then(|| {
+            let domains = self.settings.spread.domains.keys().cloned();
+            Arc::new(Table::new(&catalog, domains))
+        });
+        let mut spread = self.spread.lock();
+        for (server, born_ms) in leaving {
+            spread.leave(&server, born_ms);
+        }
+        if let Some(table) = table {
+            spread.set_terms(table.services());
+            spread.set_evacuated(table.evacuated(), now);
+            self.table.store(table);
+        }
+    }
+
+    /// Counts and logs how a request ended.
+    pub fn explain(&self, call: &Call, route: Option<&Route>, outcome: &Outcome, at: Instant) {
+        self.stats.request(route, &outcome.result, at.elapsed());
+        self.explain.request(call, route, outcome, at);
+    }
+}
--- a/crates/pick/src/budget.rs
+++ b/crates/pick/src/budget.rs
@@ -41,6 +41,20 @@
         }
     }
 
+    /// Takes other settings; what was saved stays, up to the new burst.
+    pub fn set(&mut self, settings: BudgetSettings) {
+        if settings == self.settings {
+            return;
+        }
+        let fresh = self.settings.burst <= 0.0;
+        self.saved = if fresh {
+            settings.burst
+        } else {
+            self.saved.min(settings.burst)
+        };
+        self.settings = settings;
+    }
+
     /// Earns a share for one first attempt.
     pub fn earn(&mut self) {
         self.saved = (self.saved + self.settings.share).min(self.settings.burst);
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -24,4 +24,4 @@
 pub use message::{Body, DiskId, Entry, Envelope, Payload};
 pub use record::{HardState, Record, Snapshot, Stored};
 pub use replica::{Batch, Done, MemberStatus, Outcome, Replica, ReplicaStatus, Ticket};
-pub use settings::{Settings, Timing};
+pub use settings::{OpenMembership, Settings, Timing};
--- a/crates/quorum/src/members.rs
+++ b/crates/quorum/src/members.rs
@@ -8,7 +8,7 @@
 use crate::message::DiskId;
 
 /// Most members with a vote.
-pub const VOTERS_MAX: usize = 7;
+pub const VOTERS_MAX: usize = 9;
 
 /// What a member may do.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -142,6 +142,9 @@
             self.beat(now);
         } else if now >= self.election_at {
             self.start_pre_vote(now);
+            if self.settings.open.is_some() {
+                self.say_hello(now);
+            }
         }
         self.settle(now);
     }
@@ -201,6 +204,12 @@
         matches!(self.part, Part::Leader(_))
     }
 
+    /// Index up to which the machine has applied the log.
+    #[must_use]
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
     /// Identity of this replica's disk.
     #[must_use]
     pub fn disk(&self) -> DiskId {
@@ -271,6 +280,7 @@
         self.apply_committed();
         self.confirm_reads();
         self.promote_learner(now);
+        self.retire_voter(now);
     }
 
     fn refresh_members(&mut self) {
--- a/crates/quorum/src/replica/election.rs
+++ b/crates/quorum/src/replica/election.rs
@@ -17,7 +17,8 @@
     }
 
     /// Whether a leader was heard of within the least election timeout.
-    pub(super) fn hears_leader(&self, now: Instant) -> bool {
+    #[must_use]
+    pub fn hears_leader(&self, now: Instant) -> bool {
         let timeout = self.settings.timing.election();
         let recent = |at: Instant| now.saturating_duration_since(at) < timeout;
         self.is_leader() || self.leader_heard_at.is_some_and(recent)
--- a/crates/quorum/src/replica/join.rs
+++ b/crates/quorum/src/replica/join.rs
@@ -1,5 +1,7 @@
 //! Founding a group, joining it, and changing its members one at a time.
 
+use std::collections::BTreeSet;
+
 use tokio::time::Instant;
 use world::{Error, Kind, MachineName, Result};
 
@@ -9,6 +11,9 @@
 use crate::record::{HardState, Record};
 use crate::replica::{NEAR_ENTRIES, Part, Replica, Ticket};
 
+/// An open group does not remove silent voters below this number.
+const VOTERS_MIN: usize = 3;
+
 /// Term of the entry that founds a group; elections start after it.
 const FOUNDING_TERM: u64 = 1;
 
@@ -42,12 +47,14 @@
             return;
         }
         self.hello_at = now + self.settings.timing.election();
-        if self.settings.is_founder() {
+        if self.is_fresh() && self.settings.is_founder() {
             self.found_if_all_pledged(now);
         }
         let me = self.settings.me.clone();
-        let others = self.settings.names.iter().filter(|n| **n != me);
-        let hellos: Vec<Envelope> = others.map(|n| self.hello(n)).collect();
+        let members = self.members.iter().map(|(_, member)| &member.name);
+        let named = self.settings.names.iter().chain(members);
+        let others: BTreeSet<&MachineName> = named.filter(|n| **n != me).collect();
+        let hellos: Vec<Envelope> = others.into_iter().map(|n| self.hello(n)).collect();
         for hello in hellos {
             self.output.messages_push(hello);
         }
@@ -55,12 +62,28 @@
 
     pub(super) fn on_hello(&mut self, envelope: &Envelope, now: Instant) {
         if self.is_fresh() {
-            if self.settings.names.first() == Some(&envelope.from.name) {
+            let founder = self.settings.names.first() == Some(&envelope.from.name);
+            if founder && self.settings.founds {
                 self.pledge(&envelope.from, now);
             }
         } else if self.is_leader() {
             self.admit(&envelope.from, now);
+        } else if self.settings.open.is_some() {
+            self.pass_hello_on(envelope);
+        }
+    }
+
+    /// The sender may not know the leader's machine.
+    fn pass_hello_on(&mut self, envelope: &Envelope) {
+        let Some(leader) = self.leader().cloned() else {
+            return;
+        };
+        if leader == envelope.from.name {
+            return;
         }
+        let mut passed = envelope.clone();
+        passed.to_name = leader;
+        self.output.messages_push(passed);
     }
 
     pub(super) fn on_pledge(&mut self, envelope: &Envelope, now: Instant) {
@@ -115,6 +138,30 @@
         self.append_entry(Payload::Members(members), now);
     }
 
+    /// In an open group a voter that stays silent loses its vote, so that
+    /// machines that are gone for good do not eat up the majority.
+    pub(super) fn retire_voter(&mut self, now: Instant) {
+        let Some(open) = self.settings.open else {
+            return;
+        };
+        if !self.may_change() || self.members.voters().count() <= VOTERS_MIN {
+            return;
+        }
+        let silent = |disk: &DiskId| {
+            let heard_ms = self.heard_ms(*disk, now);
+            heard_ms.is_some_and(|ms| ms >= open.retire_ms)
+        };
+        let Some(disk) = self.members.voters().find(silent) else {
+            return;
+        };
+        log::warn!(
+            "disk {disk} has been silent for {} ms and loses its vote",
+            open.retire_ms
+        );
+        let members = self.members.without(disk);
+        self.append_entry(Payload::Members(members), now);
+    }
+
     fn hello(&self, to_name: &MachineName) -> Envelope {
         Envelope {
             group: self.state.group,
@@ -177,8 +224,12 @@
     /// that the machine has lost.
     fn admit(&mut self, peer: &Peer, now: Instant) {
         let Peer { disk, name } = peer.clone();
-        let known = self.settings.names.contains(&name) && name != self.settings.me;
-        if !known || self.members.get(disk).is_some() || !self.may_change() {
+        let named = self.settings.open.is_some() || self.settings.names.contains(&name);
+        if !named
+            || name == self.settings.me
+            || self.members.get(disk).is_some()
+            || !self.may_change()
+        {
             return;
         }
         let mut members = self.members.clone();
--- a/crates/quorum/src/settings.rs
+++ b/crates/quorum/src/settings.rs
@@ -62,6 +62,19 @@
     pub keep_entries: u64,
     /// Seed of the drawn election timeouts.
     pub seed: u64,
+    /// Whether this machine may take part in founding the group.
+    pub founds: bool,
+    /// How members that the settings do not name come and go; `None`: never.
+    pub open: Option<OpenMembership>,
+}
+
+/// A group whose machines are not all known from the start: any machine on a
+/// new disk is admitted, and a voter that stays silent loses its vote.
+#[derive(Clone, Copy, Debug)]
+pub struct OpenMembership {
+    /// Silence after which a voter is removed, milliseconds. It comes back as
+    /// a learner when it is heard of again.
+    pub retire_ms: u64,
 }
 
 /// Applied entries after which a log is compacted, unless set otherwise.
@@ -81,9 +94,20 @@
             compact_entries: COMPACT_ENTRIES,
             keep_entries: KEEP_ENTRIES,
             seed,
+            founds: true,
+            open: None,
         }
     }
 
+    /// The same with members that come and go; only a machine that `founds`
+    /// takes part in founding the group.
+    #[must_use]
+    pub fn with_open_membership(mut self, open: OpenMembership, founds: bool) -> Self {
+        self.open = Some(open);
+        self.founds = founds;
+        self
+    }
+
     /// The same with other intervals and timeouts.
     #[must_use]
     pub fn with_timing(mut self, timing: Timing) -> Self {
@@ -101,6 +125,6 @@
 
     /// Whether this machine gathers the first members.
     pub(crate) fn is_founder(&self) -> bool {
-        self.names.first() == Some(&self.me)
+        self.founds && self.names.first() == Some(&self.me)
     }
 }
--- /dev/null
+++ b/crates/spread/src/service.rs
@@ -0,0 +1,271 @@
+//! The servers of one service.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use pick::{Budget, BudgetSettings};
+use steer::hash::{self, Purpose};
+use tokio::time::Instant;
+use world::{DomainName, RegionName, ServerName, ServiceTerms};
+
+use crate::cold;
+use crate::estimate::{self, Standing};
+use crate::request::{Full, Pick, Request};
+use crate::server::Server;
+use crate::shares::{self, Shares};
+
+/// Typical time of an answer before any is known, milliseconds.
+const TYPICAL_START_MS: f64 = 200.0;
+
+/// Weight of one more answer in the typical time.
+const TYPICAL_WEIGHT: f64 = 0.02;
+
+/// An answer counts as at most this many typical times.
+const TYPICAL_CAP: f64 = 4.0;
+
+/// Servers of the region of an object that may work on it: the first, and two
+/// for when it has no room.
+const COPIES: usize = 3;
+
+/// Servers of each other region that are considered when those have no room.
+const COPIES_AWAY: usize = 1;
+
+/// Requests that may be at a server for each slot: one runs, and one waits for
+/// about one typical time.
+const BUSY_MAX: f64 = 2.0;
+
+/// Share of the bound on second sends that is used: the sum over entry VMs
+/// holds while their number is known with some delay.
+const BUDGET_SHARE: f64 = 0.75;
+
+/// Shortest time to come back after that is told, milliseconds.
+const RETRY_MIN_MS: f64 = 50.0;
+
+/// Longest time to come back after that is told, milliseconds.
+const RETRY_MAX_MS: f64 = 1_000.0;
+
+/// What the choice needs from outside of the service.
+pub(crate) struct Site<'a> {
+    /// Region of this entry VM.
+    pub region: &'a RegionName,
+    /// Failure domains that get no work.
+    pub evacuated: &'a [DomainName],
+    /// Time to each region and back, milliseconds.
+    pub ways_ms: &'a BTreeMap<RegionName, f64>,
+    /// Hashes of the names of the live entry VMs.
+    pub entries: &'a [u64],
+    /// Hash of the name of this one.
+    pub me: u64,
+    pub cold_factor: f64,
+    pub cold_slack: f64,
+}
+
+/// One service.
+#[derive(Clone, Debug)]
+pub(crate) struct Service {
+    pub terms: Option<Arc<ServiceTerms>>,
+    pub servers: BTreeMap<ServerName, Server>,
+    pub budget: Budget,
+    shares: Shares,
+    typical_ms: f64,
+}
+
+/// A server with its place in the order and what it costs.
+struct Candidate {
+    name: ServerName,
+    rank: usize,
+    cost_ms: f64,
+}
+
+impl Service {
+    pub fn new() -> Self {
+        Self {
+            terms: None,
+            servers: BTreeMap::new(),
+            budget: Budget::new(BudgetSettings {
+                share: 0.0,
+                burst: 0.0,
+            }),
+            shares: Shares::default(),
+            typical_ms: TYPICAL_START_MS,
+        }
+    }
+
+    /// Sets this entry VM's part of the bound on second sends.
+    pub fn set_budget(&mut self, ratio: f64, slack: f64, entries: usize) {
+        let entries = f64::from(u32::try_from(entries.max(1)).unwrap_or(u32::MAX));
+        let settings = BudgetSettings {
+            share: ratio * BUDGET_SHARE,
+            burst: (slack * BUDGET_SHARE / entries).max(1.0),
+        };
+        self.budget.set(settings);
+    }
+
+    /// Typical time of an answer, milliseconds.
+    pub fn typical_ms(&self) -> f64 {
+        self.typical_ms
+    }
+
+    /// Takes in the time of an answer.
+    pub fn answered(&mut self, took_ms: f64) {
+        let took_ms = took_ms.min(self.typical_ms * TYPICAL_CAP);
+        self.typical_ms += (took_ms - self.typical_ms) * TYPICAL_WEIGHT;
+    }
+
+    /// Moves the shares of regions towards what the servers allow.
+    pub fn advance(&mut self, site: &Site<'_>, now: Instant) {
+        let mut slots: BTreeMap<RegionName, f64> = BTreeMap::new();
+        for server in self.servers.values().filter(|s| is_open(s, site)) {
+            let region = server.place.region.clone();
+            *slots.entry(region).or_default() += f64::from(server.slots);
+        }
+        let target = shares::target(site.region, &slots);
+        self.shares.advance(&target, now);
+    }
+
+    /// Picks a server, or says when there will be room.
+    pub fn pick(
+        &mut self,
+        request: &Request<'_>,
+        site: &Site<'_>,
+        now: Instant,
+    ) -> Result<Pick, Full> {
+        let candidates = self.candidates(request, site, now);
+        let count = candidates.len();
+        let best = candidates
+            .into_iter()
+            .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
+        let left_ms = request.left.as_secs_f64() * 1_000.0;
+        let Some(best) = best.filter(|best| best.cost_ms <= left_ms) else {
+            return Err(self.full(count));
+        };
+        let Some(server) = self.servers.get_mut(&best.name) else {
+            return Err(self.full(count));
+        };
+        let cold = server.is_cold(now);
+        server.begin(now);
+        Ok(Pick {
+            service: request.service.clone(),
+            server: server.name.clone(),
+            addr: server.addr,
+            place: server.place.clone(),
+            born_ms: server.born_ms,
+            expected_ms: whole_ms(best.cost_ms),
+            rank: best.rank,
+            cold,
+            report_age_ms: server.report_age_ms(now),
+        })
+    }
+
+    fn full(&self, candidates: usize) -> Full {
+        let retry_ms = self.typical_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS);
+        Full {
+            retry_after_ms: u32::try_from(whole_ms(retry_ms)).unwrap_or(u32::MAX),
+            candidates,
+        }
+    }
+
+    /// The few servers that may take the request now.
+    fn candidates(
+        &mut self,
+        request: &Request<'_>,
+        site: &Site<'_>,
+        now: Instant,
+    ) -> Vec<Candidate> {
+        let mut usable = self.ordered(request, site);
+        usable.retain(|(_, name)| self.has_room(name, site, now));
+        let typical_ms = self.typical_ms;
+        let cost = |(rank, name): (usize, ServerName)| {
+            let server = self.servers.get(&name)?;
+            let way_ms = site.ways_ms.get(&server.place.region).copied();
+            let standing = Standing {
+                typical_ms,
+                way_ms: way_ms.unwrap_or(0.0),
+                remembers: rank == 0 || request.object.is_none(),
+            };
+            let cost_ms = estimate::cost_ms(server, standing, now);
+            Some(Candidate {
+                name,
+                rank,
+                cost_ms,
+            })
+        };
+        usable.into_iter().filter_map(cost).collect()
+    }
+
+    /// Servers in the order for the object: those of its region, then one of
+    /// each other region. Without an object every server is as good.
+    fn ordered(&self, request: &Request<'_>, site: &Site<'_>) -> Vec<(usize, ServerName)> {
+        let allowed = |server: &&Server| {
+            let region = &server.place.region;
+            let home = request.homes.is_empty() || request.homes.contains(region);
+            home && is_open(server, site) && !request.tried.contains(&server.name)
+        };
+        let open = self.servers.values().filter(allowed);
+        let Some(object) = request.object else {
+            return open.map(|server| (0, server.name.clone())).collect();
+        };
+        let mut regions: BTreeMap<&RegionName, Vec<(f64, &ServerName)>> = BTreeMap::new();
+        for server in open {
+            let weight = f64::from(server.slots);
+            let score = hash::score(object, server.hash, weight, Purpose::Server);
+            let rows = regions.entry(&server.place.region).or_default();
+            rows.push((score, &server.name));
+        }
+        for rows in regions.values_mut() {
+            rows.sort_by(|a, b| b.0.total_cmp(&a.0));
+        }
+        let first = self.shares.region(site.region, object);
+        let first = if regions.contains_key(&first) {
+            first
+        } else {
+            site.region.clone()
+        };
+        let mut ordered = Vec::new();
+        if let Some(rows) = regions.remove(&first) {
+            let copies = rows.into_iter().take(COPIES).enumerate();
+            ordered.extend(copies.map(|(rank, (_, name))| (rank, name.clone())));
+        }
+        for rows in regions.into_values() {
+            let away = rows.into_iter().take(COPIES_AWAY).enumerate();
+            ordered.extend(away.map(|(rank, (_, name))| (rank + COPIES, name.clone())));
+        }
+        ordered
+    }
+
+    fn has_room(&mut self, name: &ServerName, site: &Site<'_>, now: Instant) -> bool {
+        let part = self.cold_part(name, site);
+        let Some(server) = self.servers.get_mut(name) else {
+            return false;
+        };
+        if server.is_avoided(now) {
+            return false;
+        }
+        if server.is_cold(now) && !server.cold_sent.fits(part, now) {
+            return false;
+        }
+        server.busy(now) < f64::from(server.slots) * BUSY_MAX
+    }
+
+    /// Requests a second that this entry VM may send to the server while it is cold.
+    fn cold_part(&self, name: &ServerName, site: &Site<'_>) -> usize {
+        let (Some(terms), Some(server)) = (&self.terms, self.servers.get(name)) else {
+            return 0;
+        };
+        let total = terms.cold_per_s * site.cold_factor + site.cold_slack;
+        let score = |entry: u64| hash::mix(server.hash, entry, Purpose::Cold);
+        let mine = score(site.me);
+        let rank = site.entries.iter().filter(|e| score(**e) > mine).count();
+        cold::part(total, site.entries.len(), rank)
+    }
+}
+
+fn is_open(server: &Server, site: &Site<'_>) -> bool {
+    !server.leaving && !site.evacuated.contains(&server.place.domain)
+}
+
+/// Whole milliseconds of a time that is not negative.
+fn whole_ms(time_ms: f64) -> u64 {
+    let time = std::time::Duration::try_from_secs_f64(time_ms / 1_000.0);
+    time.map_or(u64::MAX, world::unit::as_ms)
+}
--- a/crates/steer/src/hash.rs
+++ b/crates/steer/src/hash.rs
@@ -29,6 +29,14 @@
     Refuse,
     /// Lifetime of an answer.
     Ttl,
+    /// Region in which a request's object is worked on.
+    Region,
+    /// Backend server that remembers an object.
+    Server,
+    /// Entry VMs that may use a cold backend server.
+    Cold,
+    /// Service of a route that gets a request.
+    Part,
 }
 
 /// Hash of the group of neighbours that a client is steered with.
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -14,7 +14,7 @@
     /// The message.
     #[prost(
         oneof = "Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 24, 25, 26, 27, 28, 30, 31, 32, 33, 34, 35"
     )]
     pub body: Option<Body>,
 }
@@ -73,6 +73,24 @@
     /// Tells other entry VMs what one has seen.
     #[prost(message, tag = "28")]
     Notice(Notice),
+    /// Asks for what changed in catalog and roster.
+    #[prost(message, tag = "30")]
+    FeedAsk(Feed),
+    /// Gives what changed in catalog and roster.
+    #[prost(message, tag = "31")]
+    FeedGive(Feed),
+    /// Asks the leader of the catalog to accept a command.
+    #[prost(message, tag = "32")]
+    CommandAsk(Command),
+    /// The command was accepted.
+    #[prost(message, tag = "33")]
+    CommandGive(Applied),
+    /// Asks the leader how far the catalog is committed.
+    #[prost(message, tag = "34")]
+    IndexAsk(IndexAsk),
+    /// A point that everything acknowledged before the question lies below.
+    #[prost(message, tag = "35")]
+    IndexGive(Applied),
 }
 
 /// Opens a connection: a number that the other side binds its proof to.
@@ -112,6 +130,34 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Ping {}
 
+/// A question or an answer of the feed, in the hub's encoding.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Feed {
+    /// The message.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub payload: bytes::Bytes,
+}
+
+/// A command of the catalog, in the catalog's encoding.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Command {
+    /// The command.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub payload: bytes::Bytes,
+}
+
+/// How far the log is applied.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Applied {
+    /// Index in the log.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+}
+
+/// Asks the leader how far the catalog is committed.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct IndexAsk {}
+
 /// Answer to a heartbeat.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Pong {}
--- a/crates/world/src/kind.rs
+++ b/crates/world/src/kind.rs
@@ -80,6 +80,10 @@
     BadKey => "bad_key", 401, NotRun, None;
     /// The lists name no such service.
     NoSuchService => "no_such_service", 404, NotRun, None;
+    /// No route takes the request's host and path.
+    NoRoute => "no_route", 404, NotRun, None;
+    /// No configuration is known here yet.
+    NoConfig => "no_config", 503, NotRun, Some(300);
     /// The customer's plan may not use the service.
     NotInPlan => "not_in_plan", 403, NotRun, None;
     /// The customer is over its plan's limit.
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod lock;
 pub mod machine;
 pub mod name;
+pub mod route;
 pub mod unit;
 pub mod zone;
 
@@ -23,8 +24,10 @@
 pub use lock::{Rank, Ranked};
 pub use machine::{BackendServer, EntryVm, Lifecycle, Load};
 pub use name::{
-    ChangeId, CustomerName, DomainName, MachineName, PlanName, RegionName, ServerName, ServiceName,
+    ChangeId, CustomerName, DomainName, HostName, MachineName, PlanName, RegionName, RouteName,
+    ServerName, ServiceName,
 };
+pub use route::{Limits, Part, RequestKind, Route, ServiceTerms};
 pub use zone::{FailureDomain, Place, Region, Zones};
 
 /// Result with the system's own [`Error`].
--- a/crates/world/src/lock.rs
+++ b/crates/world/src/lock.rs
@@ -16,6 +16,8 @@
     Config,
     /// Members of the site and their liveness.
     Members,
+    /// Machines and backend servers as they announced themselves.
+    Roster,
     /// Look-ups and shifts.
     Steering,
     /// Links between processes.
@@ -30,6 +32,8 @@
     Credits,
     /// Backend servers, leases and slots.
     Fleet,
+    /// Backend servers that requests are spread over, and their load.
+    Spread,
     /// Connections to backend servers.
     Connections,
     /// Budgets for hedges and retries.
--- a/crates/world/src/name.rs
+++ b/crates/world/src/name.rs
@@ -113,12 +113,16 @@
     CustomerName;
     /// A failure domain within a region.
     DomainName;
+    /// A host that callers name in their requests.
+    HostName;
     /// A VM of the system: entry or control.
     MachineName;
     /// A plan that customers are on.
     PlanName;
     /// A region.
     RegionName;
+    /// A route of requests to services.
+    RouteName;
     /// A backend server.
     ServerName;
     /// A service that backend servers offer.
