--- a/crates/forward/src/path.rs
+++ b/crates/forward/src/path.rs
@@ -27,6 +27,10 @@
 /// there are no more of them than this for each attempt.
 const UNSENT_PER_ATTEMPT: usize = 2;
 
+/// Part of its time after which a request whose server is silent goes to a
+/// second one: before, the server may only be slow.
+const BACKUP_AFTER: u32 = 2;
+
 /// An error for the caller, with when to come back.
 struct Refusal {
     error: Error,
@@ -176,58 +180,48 @@
         self.state.spread.lock().earn(self.service);
         loop {
             let held = self.pick()?;
-            let pick = held.pick.clone();
-            let sent = self.send(&pick).await;
-            let (end, last) = match sent {
-                Sent::Answered(answer) => {
-                    let failed = answer.head.status.is_server_error();
-                    held.end(if failed { End::Failed } else { End::Answered });
-                    self.sends += 1;
-                    self.tried.push(pick.server.clone());
-                    if !failed || !self.may_send_again() {
-                        return Ok(*answer);
-                    }
-                    (End::Failed, Some(answer))
-                }
-                Sent::NotRun(end) => {
-                    held.end(end);
-                    self.count_not_run(end, &pick.server);
-                    (end, None)
-                }
-                Sent::Lost(end) => {
-                    held.end(end);
-                    self.sends += 1;
-                    self.tried.push(pick.server.clone());
-                    self.lost = Some(end);
-                    if !self.outgoing.repeats {
-                        return Err(self.failure());
-                    }
-                    (end, None)
-                }
+            let (sent, held) = self.send(held).await;
+            let end = self.settle(held, &sent);
+            let answer = match sent {
+                Sent::Answered(answer) if end == End::Answered => return Ok(*answer),
+                Sent::Answered(answer) => Some(answer),
+                Sent::NotRun(_) | Sent::Lost(_) => None,
             };
-            if self.may_go_on(end) {
+            let may_repeat = self.outgoing.repeats || not_run(end);
+            if may_repeat && self.may_go_on(end) {
                 self.state.stats.again(end);
                 continue;
             }
-            return match last {
+            return match answer {
                 Some(answer) => Ok(*answer),
                 None => Err(self.failure()),
             };
         }
     }
 
-    fn count_not_run(&mut self, end: End, server: &ServerName) {
-        match end {
-            End::NotRun | End::Replaced => {
-                self.sends += 1;
-                self.tried.push(server.clone());
-            }
-            End::Refused | End::Unreached => {
-                self.unsent += 1;
-                self.tried.push(server.clone());
+    /// Gives the slot of a send back and counts how it ended.
+    fn settle(&mut self, held: Held<'a, D>, sent: &Sent) -> End {
+        let end = match sent {
+            Sent::Answered(answer) if answer.head.status.is_server_error() => End::Failed,
+            Sent::Answered(_) => End::Answered,
+            Sent::NotRun(end) | Sent::Lost(end) => *end,
+        };
+        let server = held.pick.server.clone();
+        held.end(end);
+        if let Sent::Lost(end) = sent {
+            self.lost = Some(*end);
+        }
+        if reached(end) {
+            self.sends += 1;
+            self.tried.push(server);
+        } else {
+            self.unsent += 1;
+            // A send that was dropped says nothing about the server.
+            if end != End::Dropped {
+                self.tried.push(server);
             }
-            _ => self.unsent += 1,
         }
+        end
     }
 
     /// Whether another send is allowed, and pays for it.
@@ -236,21 +230,12 @@
         if self.left() < LEFT_MIN || self.unsent > unsent_max {
             return false;
         }
-        let reached = matches!(
-            end,
-            End::NotRun | End::Replaced | End::Failed | End::Broken | End::Silent
-        );
-        if !reached {
+        if !reached(end) {
             return true;
         }
         self.sends < self.route.attempts && self.state.spread.lock().spend(self.service)
     }
 
-    /// Whether an answer that failed may be asked for elsewhere.
-    fn may_send_again(&self) -> bool {
-        self.outgoing.repeats && self.sends < self.route.attempts
-    }
-
     fn left(&self) -> Duration {
         self.until.saturating_duration_since(Instant::now())
     }
@@ -286,30 +271,56 @@
         Some(object ^ hash::name(self.route.name.as_str()))
     }
 
-    /// Sends; a server that is silent towards everybody is given up early,
-    /// while there is time for another one.
-    async fn send(&self, pick: &spread::Pick) -> Sent {
-        let until = self.patience(pick);
+    /// Sends. While a server is silent towards everybody, a request that may
+    /// run twice goes to a second one as well, and the first good answer counts.
+    async fn send(&mut self, held: Held<'a, D>) -> (Sent, Held<'a, D>) {
+        let (state, outgoing, until) = (self.state, self.outgoing, self.until);
         let begun_at = Instant::now();
-        let mut sending =
-            std::pin::pin!(attempt::send(self.state, pick, self.outgoing, self.until));
-        if until < self.until {
-            if let Ok(sent) = timeout_at(until, &mut sending).await {
-                return sent;
+        let pick = held.pick.clone();
+        let mut first = std::pin::pin!(attempt::send(state, &pick, outgoing, until));
+        let patience = begun_at + self.left() / BACKUP_AFTER;
+        if self.outgoing.repeats && self.sends + 1 < self.route.attempts {
+            if let Ok(sent) = timeout_at(patience, &mut first).await {
+                return (sent, held);
             }
-            if self.state.spread.lock().is_silent(pick, begun_at) {
-                return Sent::Lost(End::Silent);
+            if let Some(backup) = self.back_up(&held, begun_at) {
+                let pick = backup.pick.clone();
+                let mut second = std::pin::pin!(attempt::send(state, &pick, outgoing, until));
+                return tokio::select! {
+                    sent = &mut first => match sent {
+                        Sent::Answered(_) => (sent, held),
+                        Sent::NotRun(_) | Sent::Lost(_) => {
+                            self.settle(held, &sent);
+                            (second.await, backup)
+                        }
+                    },
+                    sent = &mut second => match sent {
+                        Sent::Answered(_) => (sent, backup),
+                        Sent::NotRun(_) | Sent::Lost(_) => {
+                            self.settle(backup, &sent);
+                            (first.await, held)
+                        }
+                    },
+                };
             }
         }
-        sending.await
+        (first.await, held)
     }
 
-    fn patience(&self, _pick: &spread::Pick) -> Instant {
-        let again = self.outgoing.repeats && self.sends + 1 < self.route.attempts;
-        if !again {
-            return self.until;
+    /// A second server for a request whose first one is silent.
+    fn back_up(&mut self, held: &Held<'a, D>, begun_at: Instant) -> Option<Held<'a, D>> {
+        if !self.state.spread.lock().is_silent(&held.pick, begun_at) {
+            return None;
         }
-        Instant::now() + self.left() / 2
+        self.tried.push(held.pick.server.clone());
+        let backup = self.pick().ok();
+        self.tried.pop();
+        let backup = backup?;
+        if !self.state.spread.lock().spend(self.service) {
+            return None;
+        }
+        self.state.stats.again(End::Silent);
+        Some(backup)
     }
 
     /// The error for the caller after the last send.
@@ -335,6 +346,16 @@
     }
 }
 
+/// Whether a request whose send ended so has not run and won't.
+fn not_run(end: End) -> bool {
+    matches!(end, End::NotRun | End::Replaced) || !reached(end)
+}
+
+/// Whether a send that ended so has reached a server.
+fn reached(end: End) -> bool {
+    !matches!(end, End::Refused | End::Unreached | End::Dropped)
+}
+
 /// The service of the route that gets a request, by weight.
 fn part<'a>(route: &'a Route, call: &Call) -> &'a ServiceName {
     let total: u32 = route.parts.iter().map(|part| part.weight).sum();
--- /dev/null
+++ b/crates/forward/tests/common/mod.rs
@@ -0,0 +1,306 @@
+//! Stand-in backend servers and an entry VM in one process, over loopback.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use catalog::{Body, Fact, Item};
+use forward::{Call, Dialect, Hop, Reply, Settings, State, front};
+use hyper::Response;
+use hyper::header::{HOST, HeaderMap};
+use hyper::http::{request, response};
+use roster::ServerRow;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+use world::{
+    DomainName, Error, HostName, Kind, MachineName, Part, Place, RegionName, RequestKind, Result,
+    Route, RouteName, Secret, ServerName, ServiceName, ServiceTerms,
+};
+
+/// What a stand-in does with a request.
+#[derive(Clone, Copy, Debug)]
+pub enum Play {
+    /// Answers after this time.
+    Answer(u64),
+    /// Answers nothing and keeps the connection.
+    Silent,
+    /// Says that it did not run it.
+    Shed,
+    /// Resets the connection after it has read the request.
+    Reset,
+    /// Answers with half of the body and ends the connection.
+    Half,
+    /// Answers with another request's id.
+    Mixed,
+    /// Answers, and sends a second answer right after.
+    Extra,
+    /// Answers with a failure.
+    Fail,
+}
+
+/// Ids of the requests that a stand-in has read, with their deadlines.
+pub type Seen = Arc<Mutex<Vec<(String, u64)>>>;
+
+/// A stand-in backend server.
+pub struct StandIn {
+    pub name: ServerName,
+    pub addr: SocketAddr,
+    pub seen: Seen,
+}
+
+/// Starts a stand-in that plays `plays` in turn, the last one again and again.
+pub async fn stand_in(name: &str, plays: &[Play]) -> StandIn {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let addr = listener.local_addr().expect("address");
+    let seen = Seen::default();
+    let (plays, heard) = (plays.to_vec(), Arc::clone(&seen));
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.expect("accepted");
+            tokio::spawn(play(stream, plays.clone(), Arc::clone(&heard)));
+        }
+    });
+    let name = ServerName::new(name).expect("name");
+    StandIn { name, addr, seen }
+}
+
+async fn play(mut stream: TcpStream, plays: Vec<Play>, seen: Seen) {
+    while let Some(head) = read_head(&mut stream).await {
+        let field = |name: &str| {
+            let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+            lines
+                .find(|(key, _)| key.eq_ignore_ascii_case(name))
+                .map(|(_, value)| value.to_owned())
+        };
+        let id = field("x-id").expect("id");
+        let left_ms = field("x-left").expect("deadline").parse().expect("number");
+        let turn = {
+            let mut seen = seen.lock().expect("seen");
+            seen.push((id.clone(), left_ms));
+            seen.len() - 1
+        };
+        let answer = |id: &str| {
+            format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: 1\r\ncontent-length: 4\r\n\r\ngood")
+        };
+        let text = match plays[turn.min(plays.len() - 1)] {
+            Play::Answer(after_ms) => {
+                sleep(Duration::from_millis(after_ms)).await;
+                answer(&id)
+            }
+            Play::Silent => {
+                sleep(Duration::from_secs(60)).await;
+                return;
+            }
+            Play::Shed => format!(
+                "HTTP/1.1 503 Full\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+            ),
+            Play::Reset => return,
+            Play::Half => {
+                let whole = answer(&id);
+                let half = &whole.as_bytes()[..whole.len() - 2];
+                let _ = stream.write_all(half).await;
+                return;
+            }
+            Play::Mixed => answer("another"),
+            Play::Extra => answer(&id) + &answer("late"),
+            Play::Fail => format!(
+                "HTTP/1.1 500 Failed\r\nx-id: {id}\r\nx-seal: 1\r\ncontent-length: 0\r\n\r\n"
+            ),
+        };
+        if stream.write_all(text.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    String::from_utf8(head).ok()
+}
+
+/// Plain headers of the tests.
+pub struct Plain;
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    Some(headers.get(name)?.to_str().ok()?.to_owned())
+}
+
+impl Dialect for Plain {
+    fn call(&self, head: &request::Parts) -> Result<Call> {
+        let bad = || Error::new(Kind::BadRequest, "no id");
+        let host = text(&head.headers, HOST.as_str()).unwrap_or_default();
+        Ok(Call {
+            id: text(&head.headers, "x-id").ok_or_else(bad)?.into(),
+            host: host.into(),
+            object: None,
+            deadline_ms: text(&head.headers, "x-left").and_then(|t| t.parse().ok()),
+        })
+    }
+
+    fn hop(&self, hop: &Hop<'_>, headers: &mut HeaderMap) {
+        headers.insert("x-left", hop.left_ms.into());
+    }
+
+    fn reply(&self, head: &response::Parts) -> Reply {
+        Reply {
+            id: text(&head.headers, "x-id").map(Into::into),
+            not_run: head.headers.contains_key("x-not-run"),
+            sealed: head.headers.contains_key("x-seal"),
+            ..Reply::default()
+        }
+    }
+
+    fn refuse(&self, error: &Error, _: Option<u32>, _: Option<&Call>) -> Response<Bytes> {
+        let mut response = Response::new(Bytes::from(error.kind.to_string()));
+        *response.status_mut() = error.kind.answer().status.try_into().expect("status");
+        response
+    }
+}
+
+pub fn place() -> Place {
+    let region = RegionName::new("north").expect("region");
+    Place::new(region, DomainName::new("north-a").expect("domain"))
+}
+
+pub fn service() -> ServiceName {
+    ServiceName::new("slots").expect("service")
+}
+
+/// A route that sends `/KIND/` to the service.
+pub fn route(name: &str, kind: RequestKind, timeout_ms: u64) -> Item {
+    let route = Route {
+        name: RouteName::new(name).expect("name"),
+        host: HostName::new("site.example").expect("host"),
+        prefix: format!("/{name}/").into(),
+        kind,
+        timeout_ms,
+        target_ms: 100,
+        priority: 1,
+        attempts: 2,
+        sticky: true,
+        homes: Vec::new(),
+        parts: vec![Part {
+            service: service(),
+            weight: 1,
+        }],
+    };
+    item(1, Body::Route(Arc::new(route)))
+}
+
+pub fn terms() -> Item {
+    let terms = ServiceTerms {
+        name: service(),
+        health_path: "/health".into(),
+        connections: 100,
+        warmup_ms: 3_000,
+        cold_per_s: 5.0,
+    };
+    item(1, Body::Service(Arc::new(terms)))
+}
+
+fn item(version: u64, body: Body) -> Item {
+    Item {
+        version,
+        body,
+        source: "{}".into(),
+    }
+}
+
+/// A running entry VM.
+pub struct Entry {
+    pub state: Arc<State<Plain>>,
+    pub addr: SocketAddr,
+    pub close: watch::Sender<bool>,
+}
+
+/// Starts an entry VM that knows these items and servers.
+pub async fn entry(items: &[Item], servers: &[&StandIn]) -> Entry {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let addr = listener.local_addr().expect("address");
+    let place = place();
+    let settings = Settings {
+        front: addr,
+        seeds: Vec::new(),
+        link_port: 1,
+        secret: Secret::new("tests"),
+        spread: spread::Settings {
+            name: MachineName::new("entry-1").expect("name"),
+            domains: BTreeMap::from([(place.domain.clone(), place.region.clone())]),
+            place,
+            retry_ratio: 0.2,
+            retry_slack: 10.0,
+            cold_factor: 1.0,
+            cold_slack: 0.0,
+        },
+    };
+    let state = Arc::new(State::new(settings, Plain).expect("state"));
+    let rows = items.iter().enumerate().map(|(at, item)| catalog::Row {
+        index: at as u64 + 1,
+        fact: Fact::Item {
+            key: item.key(),
+            version: item.version,
+            item: Some(item.clone()),
+        },
+    });
+    state.merge_catalog(rows.collect());
+    for server in servers {
+        state
+            .spread
+            .lock()
+            .announced(&row(server), 0, Instant::now());
+    }
+    let (close, closing) = watch::channel(false);
+    let serving = front::serve(
+        listener,
+        Arc::clone(&state),
+        closing,
+        Duration::from_secs(2),
+    );
+    tokio::spawn(serving);
+    Entry { state, addr, close }
+}
+
+/// The announcement of a stand-in.
+pub fn row(server: &StandIn) -> ServerRow {
+    ServerRow {
+        name: server.name.clone(),
+        service: service(),
+        addr: server.addr,
+        place: place(),
+        slots: 4,
+        draining: false,
+        cold_ms: 0,
+        born_ms: 1,
+        sequence: 1,
+    }
+}
+
+/// Sends a request on a new connection; gives status line and body.
+pub async fn get(entry: &Entry, path: &str, id: &str) -> String {
+    let mut stream = TcpStream::connect(entry.addr).await.expect("connected");
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nhost: site.example\r\nx-id: {id}\r\nx-left: 5000\r\nconnection: close\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let mut answer = String::new();
+    if stream.read_to_string(&mut answer).await.is_err() {
+        return "reset".into();
+    }
+    let status = answer.lines().next().unwrap_or("closed").to_owned();
+    let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    format!("{status} {body}")
+}
+
+/// How many requests each stand-in has read.
+pub fn runs(servers: &[&StandIn]) -> Vec<usize> {
+    let runs = servers.iter().map(|s| s.seen.lock().expect("seen").len());
+    runs.collect()
+}
--- a/crates/waxwingctl/src/failure.rs
+++ b/crates/waxwingctl/src/failure.rs
@@ -75,7 +75,7 @@
                 Sort::Unknown,
                 "send the change again with the same --id; it takes effect once at most",
             ),
-            _ => (Sort::Failed, "see docs/OPERATING.md for this error"),
+            _ => (Sort::Failed, "see docs/OPERATIONS.md for this error"),
         };
         Self::new(sort, format!("{kind}: {detail}"), next)
     }
--- a/crates/waxwingctl/tests/operating.rs
+++ b/crates/waxwingctl/tests/operating.rs
@@ -7,7 +7,7 @@
 
 #[test]
 fn every_refusal_is_explained() {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATING.md");
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATIONS.md");
     let page = fs::read_to_string(path).unwrap();
     let missing: Vec<String> = Kind::ALL
         .iter()
