Follow two control VMs at a time and resume where each was left

Cause: on links of 6 Mbit/s an answer of the feed waits behind downloads for over 0.9 s; the entry VM then turned to another control VM and asked for the whole roster again, which fed the queue, so a configuration came 4 s late. Ruled out: loss of rows in the catalog (indexes grow without gaps), lagging replicas (every hub had the row within 0.3 s).

--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -1,7 +1,7 @@
-//! Follows one control VM, and moves to another when it falls silent, is cut
-//! off from the others, or lags.
+//! Follows two control VMs at a time, and moves on from one that falls silent,
+//! is cut off from the others, or lags.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +10,7 @@
 use peers::{Identity, Links, Serve};
 use rand::seq::IndexedRandom;
 use roster::{News, Row};
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 use wire::Body;
 use wire::body::Feed;
@@ -20,9 +21,17 @@
 use crate::pause;
 use crate::state::State;
 
+/// Control VMs that are followed at a time: while one is being replaced, news
+/// still come from the other.
+const FOLLOWED: usize = 2;
+
 /// Longest wait for an answer: half a second for which a hub waits for news,
-/// and the way between two regions with a lost packet.
-const PATIENCE: Duration = Duration::from_millis(900);
+/// and a second for a way on which large answers are queued.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// Time for which a control VM may lag behind what is known here: replicas
+/// learn of a commit with the next heartbeat of their leader, every 250 ms.
+const BEHIND_MAX: Duration = Duration::from_secs(1);
 
 /// Pause after a question that was not answered.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -60,6 +69,14 @@
     state: Arc<State<D>>,
     links: Links<Silent>,
     controls: Ranked<Vec<Control>>,
+    following: Ranked<Following>,
+}
+
+/// Which control VMs are followed, and how far this entry VM is with each.
+#[derive(Debug, Default)]
+struct Following {
+    now: [Option<IpAddr>; FOLLOWED],
+    cursors: BTreeMap<IpAddr, Cursor>,
 }
 
 /// How far this entry VM is with the hub that it follows.
@@ -85,6 +102,7 @@
         Ok(Self {
             links: Links::new(identity, Arc::new(Silent)),
             controls: Ranked::new(Rank::Members, controls),
+            following: Ranked::new(Rank::Roster, Following::default()),
             state,
         })
     }
@@ -104,43 +122,58 @@
 
     /// Follows until the task is dropped.
     pub async fn run(self: Arc<Self>) {
+        let mut tasks = JoinSet::new();
+        for place in 0..FOLLOWED {
+            tasks.spawn(Arc::clone(&self).keep_following(place));
+        }
+        tasks.join_all().await;
+    }
+
+    async fn keep_following(self: Arc<Self>, place: usize) {
         let mut failed = None;
         loop {
-            let Some(ip) = self.choose(failed) else {
+            let Some(ip) = self.choose(place, failed) else {
                 sleep(PAUSE).await;
                 continue;
             };
             let reason = self.follow(ip).await;
             log::info!(target: "forward", control:% = ip, reason; "control VM not followed any more");
+            self.following.lock().now[place] = None;
             failed = Some(ip);
             sleep(PAUSE).await;
         }
     }
 
     /// A control VM of the own region, else any; not the one that just failed,
-    /// unless there is no other.
-    fn choose(&self, failed: Option<IpAddr>) -> Option<IpAddr> {
+    /// unless there is no other, and none that is followed already.
+    fn choose(&self, place: usize, failed: Option<IpAddr>) -> Option<IpAddr> {
         let home = &self.state.settings.spread.place.region;
         let controls = self.controls.lock();
-        let others: Vec<&Control> = controls.iter().filter(|c| Some(c.ip) != failed).collect();
-        let near: Vec<&&Control> = others
-            .iter()
-            .filter(|c| c.region.as_ref() == Some(home))
-            .collect();
+        let mut following = self.following.lock();
+        let free = |c: &&Control| !following.now.contains(&Some(c.ip));
+        let free: Vec<&Control> = controls.iter().filter(free).collect();
+        let others = free.iter().filter(|c| Some(c.ip) != failed);
+        let near = others.clone().filter(|c| c.region.as_ref() == Some(home));
+        let (others, near): (Vec<_>, Vec<_>) = (others.collect(), near.collect());
         let mut rng = rand::rng();
-        if failed.is_none()
-            && let Some(control) = near.choose(&mut rng)
-        {
-            return Some(control.ip);
-        }
-        others.choose(&mut rng).map(|c| c.ip).or(failed)
+        let chosen = if failed.is_none() {
+            near.choose(&mut rng)
+        } else {
+            None
+        };
+        let chosen = chosen.or_else(|| others.choose(&mut rng)).map(|c| c.ip);
+        let chosen = chosen.or_else(|| free.first().map(|c| c.ip));
+        following.now[place] = chosen;
+        chosen
     }
 
     /// Follows one control VM; gives why not any longer.
     async fn follow(&self, ip: IpAddr) -> &'static str {
         let addr = SocketAddr::new(ip, self.state.settings.link_port);
-        let mut cursor = Cursor::default();
+        let known = self.following.lock().cursors.get(&ip).copied();
+        let mut cursor = known.unwrap_or_default();
         let mut followed = false;
+        let mut fresh_at = Instant::now();
         loop {
             let Some(give) = self.ask(addr, cursor).await else {
                 return "no answer";
@@ -149,7 +182,9 @@
             if !give.current && self.state.table.load().is_known() {
                 return "cut off from the other control VMs";
             }
-            if give.catalog_index < index {
+            if give.catalog_index >= index {
+                fresh_at = Instant::now();
+            } else if fresh_at.elapsed() > BEHIND_MAX {
                 return "behind";
             }
             if !followed {
@@ -160,6 +195,7 @@
                 boot: give.boot,
                 roster: give.cursor,
             };
+            self.following.lock().cursors.insert(ip, cursor);
             self.take(give);
         }
     }
