Pace large answers under the rate of the machine's link

Cause: on links of 6 Mbit/s a download of 90 to 540 KB went out in one go and everything else of the machine queued behind it for up to 3 s: a request reached a leaving server 3.2 s after its acknowledgement though it was sent 0.4 s after (DRAIN), feeds lagged, answers were late. Ruled out: a late roster (the sender knew the row within 0.4 s), waiting for a connection (bounded by the way and 0.2 s).

--- a/crates/forward/src/answer.rs
+++ b/crates/forward/src/answer.rs
@@ -48,7 +48,7 @@
 pub fn pass_on(answer: Answer, leaving: bool) -> Response<AnswerBody> {
     let Answer { mut head, body } = answer;
     drop_hop(&mut head.headers);
-    if matches!(body, AnswerBody::Full(_)) {
+    if matches!(body, AnswerBody::Full(_) | AnswerBody::Paced(_)) {
         head.headers.remove(CONTENT_LENGTH);
     }
     let mut response = Response::from_parts(head, body);
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -10,12 +10,13 @@
 use hyper::http::response;
 use hyper::{Method, Request, Uri};
 use spread::{End, Pick};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 use world::unit::{as_ms, ms};
 
 use crate::body::{AnswerBody, Stream};
 use crate::connection::{Connection, Failure};
 use crate::dialect::{Call, Dialect, Hop, Reply};
+use crate::pace::SHORT_MAX_BYTES;
 use crate::state::State;
 
 /// Answers up to this size are read whole before the first byte goes on, so
@@ -25,6 +26,9 @@
 /// Patience for a new connection beyond twice the way to the server.
 const CONNECT_MARGIN: Duration = Duration::from_millis(200);
 
+/// Bytes of a typical head, for the count of what goes over the link.
+const HEAD_BYTES: usize = 400;
+
 /// Time that must be left for a send to be of use.
 pub const LEFT_MIN: Duration = Duration::from_millis(10);
 
@@ -146,7 +150,7 @@
     }
     connection.idle_max = reply.idle_ms.map(ms);
     let closes = says_close(&head);
-    let read = match timeout_at(until, read(&mut connection, body)).await {
+    let read = match timeout_at(until, read(state, &mut connection, body)).await {
         Ok(Some(read)) => read,
         Ok(None) => return lost_answer(&reply, End::Broken),
         Err(_) => return lost_answer(&reply, End::Silent),
@@ -156,7 +160,7 @@
             if !closes && connection.is_sound().await {
                 state.pool.keep(pick, connection);
             }
-            AnswerBody::full(bytes)
+            AnswerBody::paced(bytes, &state.pace_out)
         }
         Read::Begun(begun, rest) => {
             AnswerBody::Stream(Box::new(Stream::new(begun, rest, connection)))
@@ -221,6 +225,7 @@
         left_ms: as_ms(left),
     };
     state.dialect.hop(&hop, &mut headers);
+    state.pace_out.count(outgoing.body.len() + HEAD_BYTES);
     let mut request = Request::new(Full::new(outgoing.body.clone()));
     *request.method_mut() = outgoing.method.clone();
     *request.uri_mut() = outgoing.target.clone();
@@ -243,7 +248,11 @@
 }
 
 /// Reads a body; `None` when it broke off.
-async fn read(connection: &mut Connection, mut body: Incoming) -> Option<Read> {
+async fn read<D: Dialect>(
+    state: &State<D>,
+    connection: &mut Connection,
+    mut body: Incoming,
+) -> Option<Read> {
     let mut whole = BytesMut::new();
     if let Some(len) = body.size_hint().exact() {
         whole.reserve(usize::try_from(len).unwrap_or(0).min(WHOLE_MAX_BYTES));
@@ -258,6 +267,10 @@
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
                     whole.extend_from_slice(&data);
+                    let next_at = state.pace_in.count(data.len());
+                    if whole.len() > SHORT_MAX_BYTES {
+                        sleep_until(next_at).await;
+                    }
                 }
             }
             Some(Err(error)) => {
--- a/crates/forward/src/body.rs
+++ b/crates/forward/src/body.rs
@@ -1,21 +1,49 @@
 //! Bodies of answers: a closed set, so that none is a `dyn`.
 
+use std::future::Future;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
+use tokio::time::{Sleep, sleep_until};
+
 use crate::connection::Connection;
+use crate::pace::{PIECE_BYTES, Pace, SHORT_MAX_BYTES};
 
 /// Body of an answer to a caller.
 pub enum AnswerBody {
     /// Bytes that are all here.
     Full(Option<Bytes>),
+    /// Bytes that are all here and go in pieces.
+    Paced(Box<Paced>),
     /// The rest of it still comes from a backend server.
     Stream(Box<Stream>),
 }
 
+/// A large body that goes no faster than this machine's link carries it.
+pub struct Paced {
+    rest: Bytes,
+    pace: Arc<Pace>,
+    next: Pin<Box<Sleep>>,
+}
+
+impl Paced {
+    fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Option<Bytes>> {
+        if self.rest.is_empty() {
+            return Poll::Ready(None);
+        }
+        if self.next.as_mut().poll(cx).is_pending() {
+            return Poll::Pending;
+        }
+        let piece = self.rest.split_to(PIECE_BYTES.min(self.rest.len()));
+        self.next.as_mut().reset(self.pace.count(piece.len()));
+        Poll::Ready(Some(piece))
+    }
+}
+
 /// A body that is passed on as it comes. The connection ends with it.
 pub struct Stream {
     head: Option<Bytes>,
@@ -45,6 +73,22 @@
     }
 }
 
+impl AnswerBody {
+    /// A body of bytes that is paced if it is large, and counted in any case.
+    #[must_use]
+    pub fn paced(bytes: Bytes, pace: &Arc<Pace>) -> Self {
+        if bytes.len() <= SHORT_MAX_BYTES {
+            pace.count(bytes.len());
+            return Self::full(bytes);
+        }
+        Self::Paced(Box::new(Paced {
+            rest: bytes,
+            pace: Arc::clone(pace),
+            next: Box::pin(sleep_until(pace.count(0))),
+        }))
+    }
+}
+
 impl Body for AnswerBody {
     type Data = Bytes;
     type Error = hyper::Error;
@@ -55,6 +99,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         match self.get_mut() {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Self::Paced(paced) => paced
+                .poll_piece(cx)
+                .map(|piece| Some(Ok(Frame::data(piece?)))),
             Self::Stream(stream) => {
                 if let Some(head) = stream.head.take() {
                     return Poll::Ready(Some(Ok(Frame::data(head))));
@@ -70,6 +117,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Full(bytes) => bytes.is_none(),
+            Self::Paced(paced) => paced.rest.is_empty(),
             Self::Stream(stream) => stream.head.is_none() && stream.rest.is_end_stream(),
         }
     }
@@ -77,6 +125,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
+            Self::Paced(paced) => SizeHint::with_exact(paced.rest.len() as u64),
             Self::Stream(stream) => {
                 let head = if stream.head.is_some() {
                     stream.head_len
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -13,6 +13,7 @@
 
 use crate::dialect::{Call, Dialect};
 use crate::explain::{Explain, Outcome};
+use crate::pace::Pace;
 use crate::pool::Pool;
 use crate::stats::Stats;
 
@@ -25,6 +26,8 @@
     pub seeds: Vec<IpAddr>,
     /// Port on every control VM for the system's own processes.
     pub link_port: u16,
+    /// Rate of this machine's link, each way, bytes a second.
+    pub link_bytes_per_s: f64,
     /// Secret of the deployment.
     pub secret: Secret,
     /// Settings of the choice of backend servers.
@@ -45,6 +48,10 @@
     pub spread: Ranked<Spread>,
     /// Idle connections.
     pub pool: Pool,
+    /// Bytes that come over this machine's link.
+    pub pace_in: Pace,
+    /// Bytes that go over this machine's link.
+    pub pace_out: Arc<Pace>,
     /// Counters and histograms.
     pub stats: Stats,
     explain: Explain,
@@ -65,6 +72,8 @@
             catalog: Ranked::new(Rank::Config, Catalog::default()),
             spread: Ranked::new(Rank::Spread, Spread::new(settings.spread.clone())),
             pool: Pool::default(),
+            pace_in: Pace::new(settings.link_bytes_per_s),
+            pace_out: Arc::new(Pace::new(settings.link_bytes_per_s)),
             stats: Stats::new()?,
             explain: Explain::default(),
             leaving: AtomicBool::new(false),
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -230,6 +230,7 @@
         front: addr,
         seeds: Vec::new(),
         link_port: 1,
+        link_bytes_per_s: 1e9,
         secret: Secret::new("tests"),
         spread: spread::Settings {
             name: MachineName::new("entry-1").expect("name"),
