Refuse costly work only on servers that are half used

Cause: a request was refused when its cost, penalties for forgotten objects and failures included, was over its time left, also on idle servers; on the grown sites that refused a tenth, and probes with a second left heard 503.

--- a/crates/spread/src/estimate.rs
+++ b/crates/spread/src/estimate.rs
@@ -31,20 +31,34 @@
     pub remembers: bool,
 }
 
-/// Expected time to an answer, milliseconds; for choice, not for promises.
+/// Time until a server could begin to work on a request, and the way there and
+/// back, milliseconds.
+pub(crate) fn start_ms(server: &Server, standing: Standing, now: Instant) -> f64 {
+    standing.way_ms + wait_ms(server, standing.typical_ms, now)
+}
+
+/// Time that work waits for a slot, by what is at the server now.
+fn wait_ms(server: &Server, typical_ms: f64, now: Instant) -> f64 {
+    let slots = f64::from(server.slots.max(1));
+    let ahead = (server.busy(now) + 1.0 - slots).max(0.0) / slots;
+    ahead * work_ms(server, typical_ms, now)
+}
+
+fn work_ms(server: &Server, typical_ms: f64, now: Instant) -> f64 {
+    let slowed = if server.is_cold(now) { COLD } else { 1.0 };
+    typical_ms * server.pace(now) * slowed
+}
+
+/// What an answer from the server costs, in milliseconds: the time until it
+/// comes, and what it takes away from other requests. For choice only.
 pub(crate) fn cost_ms(server: &Server, standing: Standing, now: Instant) -> f64 {
     let Standing {
         typical_ms,
         way_ms,
         remembers,
     } = standing;
-    let mut work = typical_ms * server.pace(now);
-    if server.is_cold(now) {
-        work *= COLD;
-    }
-    let slots = f64::from(server.slots.max(1));
-    let ahead = (server.busy(now) + 1.0 - slots).max(0.0) / slots;
-    let wait = ahead * work;
+    let wait = wait_ms(server, typical_ms, now);
+    let mut work = work_ms(server, typical_ms, now);
     if !remembers {
         work *= FORGOTTEN + DISPLACED;
     }
--- a/crates/spread/src/service.rs
+++ b/crates/spread/src/service.rs
@@ -34,6 +34,9 @@
 /// about one typical time.
 const BUSY_MAX: f64 = 2.0;
 
+/// Share of its slots below which a server counts as little used.
+const IDLE_BELOW: f64 = 0.5;
+
 /// Share of the bound on second sends that is used: the sum over entry VMs
 /// holds while their number is known with some delay.
 const BUDGET_SHARE: f64 = 0.75;
@@ -75,6 +78,18 @@
     name: ServerName,
     rank: usize,
     cost_ms: f64,
+    start_ms: f64,
+    idle: bool,
+}
+
+impl Candidate {
+    /// Whether the request should be taken. On a server that is well used,
+    /// work that costs more than the time in which an answer is of use would
+    /// be paid for by requests that fit; elsewhere it only has to begin in time.
+    fn is_worth(&self, left_ms: f64) -> bool {
+        let bound = if self.idle { self.start_ms } else { self.cost_ms };
+        bound <= left_ms
+    }
 }
 
 impl Service {
@@ -136,7 +151,7 @@
             .into_iter()
             .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
         let left_ms = request.left.as_secs_f64() * 1_000.0;
-        let Some(best) = best.filter(|best| best.cost_ms <= left_ms) else {
+        let Some(best) = best.filter(|best| best.is_worth(left_ms)) else {
             return Err(self.full(count));
         };
         let Some(server) = self.servers.get_mut(&best.name) else {
@@ -183,11 +198,12 @@
                 way_ms: way_ms.unwrap_or(0.0),
                 remembers: rank == 0 || request.object.is_none(),
             };
-            let cost_ms = estimate::cost_ms(server, standing, now);
             Some(Candidate {
                 name,
                 rank,
-                cost_ms,
+                cost_ms: estimate::cost_ms(server, standing, now),
+                start_ms: estimate::start_ms(server, standing, now),
+                idle: server.busy(now) < f64::from(server.slots) * IDLE_BELOW,
             })
         };
         usable.into_iter().filter_map(cost).collect()
