Answer large requests from the own failure domain

Any server holds all download objects, so nothing is forgotten by staying. Ruled out: the same for short answers, whose objects fill a server's memory.

--- a/crates/forward/src/path.rs
+++ b/crates/forward/src/path.rs
@@ -11,7 +11,7 @@
 use steer::hash::{self, Purpose};
 use tokio::time::{Instant, timeout_at};
 use world::unit::{as_ms, ms};
-use world::{Error, Kind, Route, ServerName, ServiceName};
+use world::{Error, Kind, RequestKind, Route, ServerName, ServiceName};
 
 use crate::answer;
 use crate::attempt::{self, Answer, Held, LEFT_MIN, Outgoing, Sent};
@@ -247,6 +247,7 @@
         let request = spread::Request {
             service: self.service,
             object: self.object(),
+            large: self.route.kind == RequestKind::Download,
             tried: &self.tried,
             homes: &self.route.homes,
             left: self.left(),
--- a/crates/spread/src/request.rs
+++ b/crates/spread/src/request.rs
@@ -12,6 +12,8 @@
     pub service: &'a ServiceName,
     /// Hash of the object that it concerns, where servers remember objects.
     pub object: Option<u64>,
+    /// Whether its answer is large, so that its way counts.
+    pub large: bool,
     /// Servers that it was sent to before.
     pub tried: &'a [ServerName],
     /// Regions that may serve it; empty: all.
--- a/crates/spread/src/service.rs
+++ b/crates/spread/src/service.rs
@@ -6,7 +6,7 @@
 use pick::{Budget, BudgetSettings};
 use steer::hash::{self, Purpose};
 use tokio::time::Instant;
-use world::{DomainName, RegionName, ServerName, ServiceTerms};
+use world::{DomainName, Place, RegionName, ServerName, ServiceTerms};
 
 use crate::cold;
 use crate::estimate::{self, Standing};
@@ -49,8 +49,8 @@
 
 /// What the choice needs from outside of the service.
 pub(crate) struct Site<'a> {
-    /// Region of this entry VM.
-    pub region: &'a RegionName,
+    /// Where this entry VM stands.
+    pub place: &'a Place,
     /// Failure domains that get no work.
     pub evacuated: &'a [DomainName],
     /// Time to each region and back, milliseconds.
@@ -108,7 +108,7 @@
 
     /// Sets this entry VM's part of the bound on second sends.
     pub fn set_budget(&mut self, ratio: f64, slack: f64, entries: usize) {
-        let entries = f64::from(u32::try_from(entries.max(1)).unwrap_or(u32::MAX));
+        let entries = count(entries);
         let settings = BudgetSettings {
             share: ratio * BUDGET_SHARE,
             burst: (slack * BUDGET_SHARE / entries).max(1.0),
@@ -134,7 +134,7 @@
             let region = server.place.region.clone();
             *slots.entry(region).or_default() += f64::from(server.slots);
         }
-        let target = shares::target(site.region, &slots);
+        let target = shares::target(&site.place.region, &slots);
         self.shares.advance(&target, now);
     }
 
@@ -221,34 +221,49 @@
         let Some(object) = request.object else {
             return open.map(|server| (0, server.name.clone())).collect();
         };
-        let mut regions: BTreeMap<&RegionName, Vec<(f64, &ServerName)>> = BTreeMap::new();
+        let stays = request.large && self.stays_in_domain(object, site);
+        let mut regions: BTreeMap<&RegionName, Vec<(bool, f64, &ServerName)>> = BTreeMap::new();
         for server in open {
             let weight = f64::from(server.slots);
             let score = hash::score(object, server.hash, weight, Purpose::Server);
+            let near = stays && server.place == *site.place;
             let rows = regions.entry(&server.place.region).or_default();
-            rows.push((score, &server.name));
+            rows.push((near, score, &server.name));
         }
         for rows in regions.values_mut() {
-            rows.sort_by(|a, b| b.0.total_cmp(&a.0));
+            rows.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)));
         }
-        let first = self.shares.region(site.region, object);
+        let first = self.shares.region(&site.place.region, object);
         let first = if regions.contains_key(&first) {
             first
         } else {
-            site.region.clone()
+            site.place.region.clone()
         };
         let mut ordered = Vec::new();
         if let Some(rows) = regions.remove(&first) {
             let copies = rows.into_iter().take(COPIES).enumerate();
-            ordered.extend(copies.map(|(rank, (_, name))| (rank, name.clone())));
+            ordered.extend(copies.map(|(rank, (_, _, name))| (rank, name.clone())));
         }
         for rows in regions.into_values() {
             let away = rows.into_iter().take(COPIES_AWAY).enumerate();
-            ordered.extend(away.map(|(rank, (_, name))| (rank + COPIES, name.clone())));
+            ordered.extend(away.map(|(rank, (_, _, name))| (rank + COPIES, name.clone())));
         }
         ordered
     }
 
+    /// Whether a large object is worked on in this entry VM's failure domain:
+    /// all of them where the domain has its part of the region's slots.
+    fn stays_in_domain(&self, object: u64, site: &Site<'_>) -> bool {
+        let mut domains: BTreeMap<&DomainName, f64> = BTreeMap::new();
+        let open = self.servers.values().filter(|s| is_open(s, site));
+        for server in open.filter(|s| s.place.region == site.place.region) {
+            *domains.entry(&server.place.domain).or_default() += f64::from(server.slots);
+        }
+        let own = domains.get(&site.place.domain).copied().unwrap_or(0.0);
+        let mean = domains.values().sum::<f64>() / count(domains.len());
+        own > 0.0 && hash::unit(object, Purpose::Domain) < own / mean
+    }
+
     fn has_room(&mut self, name: &ServerName, site: &Site<'_>, now: Instant) -> bool {
         let part = self.cold_part(name, site);
         let Some(server) = self.servers.get_mut(name) else {
@@ -280,6 +295,11 @@
     !server.leaving && !site.evacuated.contains(&server.place.domain)
 }
 
+/// A number of things, at least one.
+fn count(things: usize) -> f64 {
+    f64::from(u32::try_from(things.max(1)).unwrap_or(u32::MAX))
+}
+
 /// Whole milliseconds of a time that is not negative.
 fn whole_ms(time_ms: f64) -> u64 {
     let time = std::time::Duration::try_from_secs_f64(time_ms / 1_000.0);
--- a/crates/spread/src/spread.rs
+++ b/crates/spread/src/spread.rs
@@ -311,7 +311,7 @@
     entries: &'a [u64],
 ) -> Site<'a> {
     Site {
-        region: &settings.place.region,
+        place: &settings.place,
         evacuated,
         ways_ms,
         entries,
--- a/crates/steer/src/hash.rs
+++ b/crates/steer/src/hash.rs
@@ -31,6 +31,8 @@
     Ttl,
     /// Region in which a request's object is worked on.
     Region,
+    /// Whether a large object is worked on in the caller's failure domain.
+    Domain,
     /// Backend server that remembers an object.
     Server,
     /// Entry VMs that may use a cold backend server.
