--- a/crates/spread/src/service.rs
+++ b/crates/spread/src/service.rs
@@ -87,7 +87,11 @@
     /// work that costs more than the time in which an answer is of use would
     /// be paid for by requests that fit; elsewhere it only has to begin in time.
     fn is_worth(&self, left_ms: f64) -> bool {
-        let bound = if self.idle { self.start_ms } else { self.cost_ms };
+        let bound = if self.idle {
+            self.start_ms
+        } else {
+            self.cost_ms
+        };
         bound <= left_ms
     }
 }
--- /dev/null
+++ b/crates/spread/tests/spread.rs
@@ -0,0 +1,251 @@
+//! Which server gets a request, and which gets none.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use roster::ServerRow;
+use spread::cold::part;
+use spread::shares::{Shares, target};
+use spread::{End, Pick, Report, Request, Settings, Spread};
+use tokio::time::Instant;
+use world::{DomainName, MachineName, Place, RegionName, ServerName, ServiceName, ServiceTerms};
+
+const DOMAINS: [(&str, &str); 4] = [
+    ("north-a", "north"),
+    ("north-b", "north"),
+    ("south-a", "south"),
+    ("south-b", "south"),
+];
+
+fn place(domain: &str) -> Place {
+    let (_, region) = DOMAINS.iter().find(|(name, _)| *name == domain).unwrap();
+    Place::new(
+        RegionName::new(region).unwrap(),
+        DomainName::new(domain).unwrap(),
+    )
+}
+
+fn service() -> ServiceName {
+    ServiceName::new("slots").unwrap()
+}
+
+fn row(name: &str, domain: &str) -> ServerRow {
+    ServerRow {
+        name: ServerName::new(name).unwrap(),
+        service: service(),
+        addr: ([10, 0, 0, 1], 80).into(),
+        place: place(domain),
+        slots: 4,
+        draining: false,
+        cold_ms: 0,
+        born_ms: 1,
+        sequence: 1,
+    }
+}
+
+fn settings(name: &str) -> Settings {
+    let domain = |(name, region): &(&str, &str)| {
+        (
+            DomainName::new(name).unwrap(),
+            RegionName::new(region).unwrap(),
+        )
+    };
+    Settings {
+        name: MachineName::new(name).unwrap(),
+        place: place("north-a"),
+        domains: DOMAINS.iter().map(domain).collect(),
+        retry_ratio: 0.2,
+        retry_slack: 20.0,
+        cold_factor: 1.5,
+        cold_slack: 5.0,
+    }
+}
+
+/// Two servers in each failure domain.
+fn site(now: Instant) -> Spread {
+    let mut spread = Spread::new(settings("entry-1"));
+    let terms = ServiceTerms {
+        name: service(),
+        health_path: "/health".into(),
+        connections: 10,
+        warmup_ms: 3_000,
+        cold_per_s: 10.0,
+    };
+    spread.set_terms([&Arc::new(terms)].into_iter());
+    for (domain, _) in DOMAINS {
+        for at in 1..=2 {
+            spread.announced(&row(&format!("{domain}-{at}"), domain), 0, now);
+        }
+    }
+    spread.advance(now);
+    spread
+}
+
+fn pick(spread: &mut Spread, object: u64, large: bool, now: Instant) -> Result<Pick, spread::Full> {
+    let service = service();
+    let request = Request {
+        service: &service,
+        object: Some(object),
+        large,
+        tried: &[],
+        homes: &[],
+        left: Duration::from_secs(5),
+    };
+    spread.pick(&request, now)
+}
+
+/// Picks for an object and gives the slot back at once.
+fn choose(spread: &mut Spread, object: u64, large: bool, now: Instant) -> Option<Pick> {
+    let pick = pick(spread, object, large, now).ok()?;
+    spread.end(&pick, End::Answered, Duration::from_millis(100), now);
+    Some(pick)
+}
+
+#[test]
+fn an_object_stays_with_one_server_and_objects_are_spread() {
+    let now = Instant::now();
+    let mut spread = site(now);
+    let mut other = site(now);
+    let mut used = BTreeSet::new();
+    for object in 0..200 {
+        let first = choose(&mut spread, object, false, now).unwrap().server;
+        let again = choose(&mut spread, object, false, now).unwrap().server;
+        let elsewhere = choose(&mut other, object, false, now).unwrap().server;
+        assert_eq!((&first, &first), (&again, &elsewhere));
+        used.insert(first);
+    }
+    assert_eq!(used.len(), 4, "all servers of the region: {used:?}");
+}
+
+#[test]
+fn large_objects_stay_in_the_failure_domain() {
+    let now = Instant::now();
+    let mut spread = site(now);
+    let picks = (0..100).map(|o| choose(&mut spread, o, true, now).unwrap().place.domain);
+    let domains: BTreeSet<String> = picks.map(|d| d.to_string()).collect();
+    assert_eq!(domains, BTreeSet::from(["north-a".into()]));
+}
+
+#[test]
+fn nothing_goes_to_servers_that_leave_are_evacuated_or_were_not_reached() {
+    let now = Instant::now();
+    let mut spread = site(now);
+    spread.set_evacuated(&[DomainName::new("north-b").unwrap()], now);
+    spread.leave(&ServerName::new("north-a-1").unwrap(), 1);
+    let pick = pick(&mut spread, 1, false, now).unwrap();
+    assert_eq!(pick.server.as_str(), "north-a-2");
+    spread.leave(&pick.server, 1);
+    assert!(!spread.is_open(&pick), "seen again when it is sent");
+    let elsewhere = choose(&mut spread, 1, false, now).unwrap();
+    assert_eq!(elsewhere.place.region.as_str(), "south");
+    spread.end(&elsewhere, End::Refused, Duration::ZERO, now);
+    let next = choose(&mut spread, 1, false, now);
+    assert_ne!(next.map(|p| p.server), Some(elsewhere.server));
+}
+
+#[test]
+fn a_later_start_of_a_server_that_left_is_used() {
+    let now = Instant::now();
+    let mut spread = site(now);
+    let name = ServerName::new("north-a-1").unwrap();
+    spread.leave(&name, 1);
+    let mut again = row("north-a-1", "north-a");
+    again.born_ms = 2;
+    spread.announced(&again, 0, now);
+    let used = (0..50).any(|o| choose(&mut spread, o, true, now).unwrap().server == name);
+    assert!(used);
+}
+
+#[test]
+fn a_full_site_refuses_and_says_when_to_come_back() {
+    let now = Instant::now();
+    let mut spread = site(now);
+    let busy = Report {
+        running: 4,
+        waiting: 20,
+        slots: 4,
+        pace_percent: 100,
+    };
+    for object in 0..200 {
+        if let Ok(pick) = pick(&mut spread, object, false, now) {
+            spread.reported(&pick, busy, now);
+        }
+    }
+    let full = pick(&mut spread, 1, false, now).unwrap_err();
+    assert!((50..=1_000).contains(&full.retry_after_ms), "{full:?}");
+}
+
+#[test]
+fn cold_servers_get_no_more_than_they_bear_from_all_entry_vms_together() {
+    for entries in [1, 3, 10, 11, 40, 71] {
+        for total in [10.25, 20.0, 30.5] {
+            let sum: usize = (0..entries).map(|rank| part(total, entries, rank)).sum();
+            let whole = [10, 20, 30].into_iter().rfind(|w| f64::from(*w) <= total);
+            assert_eq!(sum, usize::try_from(whole.unwrap()).unwrap());
+        }
+    }
+}
+
+#[test]
+fn a_domain_that_is_taken_back_counts_as_cold() {
+    let now = Instant::now();
+    let mut spread = site(now);
+    let domain = [DomainName::new("north-a").unwrap()];
+    spread.set_evacuated(&domain, now);
+    spread.set_evacuated(&[], now);
+    let cold: Vec<bool> = (0..20)
+        .filter_map(|o| choose(&mut spread, o, true, now))
+        .filter(|p| p.place.domain.as_str() == "north-a")
+        .map(|p| p.cold)
+        .collect();
+    assert!(!cold.is_empty() && cold.iter().all(|c| *c), "{cold:?}");
+}
+
+fn slots(rows: &[(&str, f64)]) -> BTreeMap<RegionName, f64> {
+    let row = |(name, slots): &(&str, f64)| (RegionName::new(name).unwrap(), *slots);
+    rows.iter().map(row).collect()
+}
+
+#[test]
+fn a_region_with_few_slots_sends_the_rest_where_slots_are_left() {
+    let slots = slots(&[("east", 90.0), ("mid", 72.0), ("west", 18.0)]);
+    let rows: Vec<String> = slots
+        .keys()
+        .map(|home| {
+            let shares = target(home, &slots);
+            let row = |(to, share): (&RegionName, &f64)| format!("{to} {share:.2}");
+            format!(
+                "{home}: {}",
+                shares.iter().map(row).collect::<Vec<_>>().join(", ")
+            )
+        })
+        .collect();
+    insta::assert_snapshot!(rows.join("\n"));
+}
+
+#[test]
+fn shares_move_less_than_the_bound_in_two_seconds() {
+    let home = RegionName::new("west").unwrap();
+    let before = target(&home, &slots(&[("east", 90.0), ("west", 90.0)]));
+    let after = target(&home, &slots(&[("east", 150.0), ("west", 10.0)]));
+    let mut shares = Shares::default();
+    let begun_at = Instant::now();
+    shares.advance(&before, begun_at);
+    let region = |shares: &Shares| -> Vec<RegionName> {
+        (0..2_000_u64)
+            .map(|o| shares.region(&home, o * 0x9e37_79b9))
+            .collect()
+    };
+    let mut last = region(&shares);
+    for second in (2..40).step_by(2) {
+        for half in 1..=4 {
+            let at = Duration::from_millis(second * 1_000 - 2_000 + half * 500);
+            shares.advance(&after, begun_at + at);
+        }
+        let next = region(&shares);
+        let moved = last.iter().zip(&next).filter(|(a, b)| a != b).count();
+        assert!(moved <= 300, "{moved} of 2,000 in two seconds");
+        last = next;
+    }
+}
