--- a/crates/entry/src/headers.rs
+++ b/crates/entry/src/headers.rs
@@ -1,9 +1,9 @@
 //! Headers of requests and answers: what is passed on and what is not.
 
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
-};
+pub use forward::answer::drop_hop;
+
+use forward::answer::HOP;
+use hyper::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName};
 
 /// Header with the id of the request.
 pub const REQUEST: HeaderName = HeaderName::from_static("x-waxwing-request");
@@ -18,17 +18,6 @@
 /// Header with the number that grows with each right to run an operation.
 pub const FENCE: HeaderName = HeaderName::from_static("x-waxwing-fence");
 
-/// Headers of one hop.
-const HOP: [HeaderName; 7] = [
-    CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
-    HeaderName::from_static("proxy-connection"),
-];
-
 /// Prefix of the system's own headers, which callers can't pass on.
 const OWN_PREFIX: &str = "x-waxwing-";
 
@@ -47,10 +36,3 @@
     }
     passed
 }
-
-/// Takes the headers of one hop out of an answer.
-pub fn drop_hop(headers: &mut HeaderMap) {
-    for name in &HOP {
-        headers.remove(name);
-    }
-}
--- a/crates/forward/src/answer.rs
+++ b/crates/forward/src/answer.rs
@@ -3,13 +3,13 @@
 use bytes::Bytes;
 use hyper::Response;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue};
-use hyper::header::{EXPECT, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use hyper::header::{EXPECT, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 
 use crate::attempt::Answer;
 use crate::body::AnswerBody;
 
 /// Headers of one hop.
-const HOP: [HeaderName; 7] = [
+pub const HOP: [HeaderName; 7] = [
     CONNECTION,
     HeaderName::from_static("keep-alive"),
     TE,
@@ -71,6 +71,3 @@
         response.headers_mut().insert(CONNECTION, close);
     }
 }
-
-/// Header of the host that a request is for.
-pub const HOST_HEADER: HeaderName = HOST;
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -101,7 +101,7 @@
             return;
         }
         let took = self.begun_at.elapsed();
-        self.state.stats.sent(&self.pick, end, took);
+        self.state.stats.sent(&self.pick, end);
         let mut spread = self.state.spread.lock();
         spread.end(&self.pick, end, took, Instant::now());
     }
--- a/crates/forward/src/stats.rs
+++ b/crates/forward/src/stats.rs
@@ -53,7 +53,7 @@
             .observe(took.as_secs_f64());
     }
 
-    pub(crate) fn sent(&self, pick: &Pick, end: End, _took: Duration) {
+    pub(crate) fn sent(&self, pick: &Pick, end: End) {
         let labels = [pick.service.as_str(), end.as_str()];
         self.sends.with_label_values(&labels).inc();
     }
--- a/crates/spread/src/service.rs
+++ b/crates/spread/src/service.rs
@@ -120,11 +120,6 @@
         self.budget.set(settings);
     }
 
-    /// Typical time of an answer, milliseconds.
-    pub fn typical_ms(&self) -> f64 {
-        self.typical_ms
-    }
-
     /// Takes in the time of an answer.
     pub fn answered(&mut self, took_ms: f64) {
         let took_ms = took_ms.min(self.typical_ms * TYPICAL_CAP);
--- a/crates/spread/src/spread.rs
+++ b/crates/spread/src/spread.rs
@@ -28,6 +28,10 @@
 /// may have been restarted, and their next announcement tells.
 const BACK_COLD: Duration = Duration::from_secs(4);
 
+/// Time to come back after while no server of a service is known, milliseconds:
+/// about a fifth of the time between two announcements.
+const RETRY_UNKNOWN_MS: u32 = 300;
+
 /// The table.
 #[derive(Clone, Debug)]
 pub struct Spread {
@@ -239,12 +243,6 @@
         server.is_none_or(|s| s.answered_at.is_none_or(|at| at < since))
     }
 
-    /// Typical time of an answer of a service, milliseconds.
-    #[must_use]
-    pub fn typical_ms(&self, service: &ServiceName) -> Option<f64> {
-        self.services.get(service).map(Service::typical_ms)
-    }
-
     /// Takes in a load report of a server.
     pub fn reported(&mut self, pick: &Pick, report: Report, now: Instant) {
         let service = self.services.get_mut(&pick.service);
@@ -300,9 +298,6 @@
     }
 }
 
-/// Time to come back after while no server of a service is known, milliseconds.
-const RETRY_UNKNOWN_MS: u32 = 300;
-
 fn site<'a>(
     settings: &'a Settings,
     me: u64,
