Share cold servers out over the entry VMs that are known, from the start on

A failure domain came back after 5 s with 13 entry VMs. Each counted itself as the only one until the tables were tended, up to half a second later, and took the whole bound of a cold server for itself: front-zapad-b-6 alone had five sends to i-efb14ea858 cut when it fell over. Now an entry VM shares the bounds out as soon as it hears of another one, and sends nothing to cold servers in its first 2 s. Tests, red before: 20 and 20 requests to one cold server, now 1 and 0.

--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -70,7 +70,10 @@
             dialect,
             table: ArcSwap::default(),
             catalog: Ranked::new(Rank::Config, Catalog::default()),
-            spread: Ranked::new(Rank::Spread, Spread::new(settings.spread.clone())),
+            spread: Ranked::new(
+                Rank::Spread,
+                Spread::new(settings.spread.clone(), Instant::now()),
+            ),
             pool: Pool::default(),
             pace_in: Pace::new(settings.link_bytes_per_s),
             pace_out: Arc::new(Pace::new(settings.link_bytes_per_s)),
--- a/crates/spread/src/service.rs
+++ b/crates/spread/src/service.rs
@@ -62,7 +62,7 @@
     pub evacuated: &'a [DomainName],
     /// Time to each region and back, milliseconds.
     pub ways_ms: &'a BTreeMap<RegionName, f64>,
-    /// Hashes of the names of the live entry VMs.
+    /// Hashes of the names of the live entry VMs; none until they are known.
     pub entries: &'a [u64],
     /// Hash of the name of this one.
     pub me: u64,
@@ -321,6 +321,9 @@
         let (Some(terms), Some(server)) = (&self.terms, self.servers.get(name)) else {
             return 0;
         };
+        if site.entries.is_empty() {
+            return 0;
+        }
         let total = terms.cold_per_s * site.cold_factor + site.cold_slack;
         let score = |entry: u64| hash::mix(server.hash, entry, Purpose::Cold);
         let mine = score(site.me);
--- a/crates/spread/src/spread.rs
+++ b/crates/spread/src/spread.rs
@@ -18,6 +18,10 @@
 /// out: it may only be cut off from the control VMs.
 const ENTRY_MEMORY: Duration = Duration::from_secs(10);
 
+/// Time after a start until the other entry VMs are known: three of their
+/// announcements of 0.5 s, and half a second for the way over control VMs.
+const ENTRIES_KNOWN: Duration = Duration::from_secs(2);
+
 /// Time to servers of another region and back before it was measured, milliseconds.
 const WAY_START_MS: f64 = 50.0;
 
@@ -37,6 +41,7 @@
 pub struct Spread {
     settings: Settings,
     me: u64,
+    started_at: Instant,
     services: HashMap<ServiceName, Service>,
     service_of: HashMap<ServerName, ServiceName>,
     /// Starts of servers that leave.
@@ -48,9 +53,9 @@
 }
 
 impl Spread {
-    /// A table without services.
+    /// A table without services, of an entry VM that starts now.
     #[must_use]
-    pub fn new(settings: Settings) -> Self {
+    pub fn new(settings: Settings, now: Instant) -> Self {
         let region = settings.place.region.clone();
         let regions = settings.domains.values().cloned();
         let mut ways_ms: BTreeMap<RegionName, f64> = regions.map(|r| (r, WAY_START_MS)).collect();
@@ -58,6 +63,7 @@
         let me = hash::name(settings.name.as_str());
         Self {
             me,
+            started_at: now,
             services: HashMap::new(),
             service_of: HashMap::new(),
             leaving: HashMap::new(),
@@ -157,12 +163,23 @@
         if *name == self.settings.name {
             return;
         }
+        let known = self.entries.len();
         let row = self.entries.entry(name.clone()).or_default();
         match (lost, &row) {
             (true, None) => *row = Some(now),
             (false, Some(_)) => *row = None,
             _ => {}
         }
+        if self.entries.len() > known {
+            self.count_entries();
+        }
+    }
+
+    /// Shares the bounds out over the entry VMs that are known.
+    fn count_entries(&mut self) {
+        let names = self.entries.keys();
+        self.live = names.map(|name| hash::name(name.as_str())).collect();
+        self.share_out();
     }
 
     /// Passes on the time: once a second or so.
@@ -171,12 +188,7 @@
             lost_at.is_none_or(|at| now.saturating_duration_since(at) < ENTRY_MEMORY)
         };
         self.entries.retain(|_, lost_at| recent(lost_at));
-        self.live = self
-            .entries
-            .keys()
-            .map(|n| hash::name(n.as_str()))
-            .collect();
-        self.share_out();
+        self.count_entries();
         let site = site(
             &self.settings,
             self.me,
@@ -194,12 +206,13 @@
     /// # Errors
     /// [`Full`] when no server has room for it.
     pub fn pick(&mut self, request: &Request<'_>, now: Instant) -> Result<Pick, Full> {
+        let known = now.saturating_duration_since(self.started_at) >= ENTRIES_KNOWN;
         let site = site(
             &self.settings,
             self.me,
             &self.evacuated,
             &self.ways_ms,
-            &self.live,
+            if known { &self.live } else { &[] },
         );
         let service = self.services.get_mut(request.service);
         let service = service.ok_or(Full {
--- a/crates/spread/tests/spread.rs
+++ b/crates/spread/tests/spread.rs
@@ -62,9 +62,14 @@
     }
 }
 
-/// Two servers in each failure domain.
+/// Two servers in each failure domain, and an entry VM that has run for a while.
 fn site(now: Instant) -> Spread {
-    let mut spread = Spread::new(settings("entry-1"));
+    started(now, now.checked_sub(Duration::from_secs(60)).unwrap())
+}
+
+/// The same with an entry VM that started at `started_at`.
+fn started(now: Instant, started_at: Instant) -> Spread {
+    let mut spread = Spread::new(settings("entry-1"), started_at);
     let terms = ServiceTerms {
         name: service(),
         health_path: "/health".into(),
@@ -215,6 +220,52 @@
     }
 }
 
+/// Makes every server cold for ten seconds.
+fn cool(spread: &mut Spread, now: Instant) {
+    for (domain, _) in DOMAINS {
+        for at in 1..=2 {
+            let mut row = row(&format!("{domain}-{at}"), domain);
+            row.cold_ms = 10_000;
+            row.sequence = 2;
+            spread.announced(&row, 0, now);
+        }
+    }
+}
+
+/// How many of 200 requests at once a cold server gets at most.
+fn most_to_one_server(spread: &mut Spread, now: Instant) -> usize {
+    let mut sent: BTreeMap<ServerName, usize> = BTreeMap::new();
+    for object in 0..200 {
+        if let Some(pick) = choose(spread, object, false, now) {
+            *sent.entry(pick.server).or_default() += 1;
+        }
+    }
+    sent.into_values().max().unwrap_or(0)
+}
+
+#[test]
+fn cold_servers_are_shared_with_entry_vms_as_soon_as_these_are_known() {
+    let now = Instant::now();
+    let mut spread = site(now);
+    cool(&mut spread, now);
+    for at in 2..=71 {
+        let name = MachineName::new(&format!("entry-{at}")).unwrap();
+        spread.entry(&name, false, now);
+    }
+    // 20 a second over 71 entry VMs.
+    assert_eq!(most_to_one_server(&mut spread, now), 1);
+}
+
+#[test]
+fn an_entry_vm_that_just_started_leaves_cold_servers_to_others() {
+    let started_at = Instant::now();
+    let mut spread = started(started_at, started_at);
+    cool(&mut spread, started_at);
+    let at = |ms| started_at + Duration::from_millis(ms);
+    assert_eq!(most_to_one_server(&mut spread, at(1_000)), 0);
+    assert_eq!(most_to_one_server(&mut spread, at(2_500)), 20);
+}
+
 #[test]
 fn a_domain_that_is_taken_back_counts_as_cold() {
     let now = Instant::now();
