Say that a route is missing only while the routes are up to date

While a failure domain was lost, the links of the entry VMs beside it were choked; front-zapad-a-6 heard no control VM from second 16.7 to 20.9 and answered 404 at 20.8 for a route that had been acknowledged at 17.3. Ruled out: control VMs (all had version 20 at 17.3 and answered others), the feed's merging (the row came with the first answer that got through). Now a route counts as missing only when a control VM that hears of a leader confirmed the routes within 1.5 s; otherwise the answer is no_config, 503, which is true and tells when to come back. Test, red before: a_missing_route_is_told_only_while_the_routes_are_up_to_date. The choked links themselves stay to be mended.

--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -175,10 +175,12 @@
         let mut followed = false;
         let mut fresh_at = Instant::now();
         loop {
+            let asked_at = Instant::now();
             let Some(give) = self.ask(addr, cursor).await else {
                 return "no answer";
             };
             let index = self.state.catalog.lock().index();
+            let (current, newest) = (give.current, give.catalog_index);
             if !give.current && self.state.table.load().is_known() {
                 return "cut off from the other control VMs";
             }
@@ -197,6 +199,9 @@
             };
             self.following.lock().cursors.insert(ip, cursor);
             self.take(give);
+            if current && newest >= index {
+                self.state.confirm(asked_at);
+            }
         }
     }
 
--- a/crates/forward/src/path.rs
+++ b/crates/forward/src/path.rs
@@ -73,7 +73,12 @@
         return refuse(&state, &refusal, Some(&call), arrived_at);
     }
     let Some(route) = table.route(&call.host, head.uri.path()) else {
-        let refusal = Refusal::new(Kind::NoRoute, "no route takes this host and path");
+        let refusal = if state.is_confirmed(arrived_at) {
+            Refusal::new(Kind::NoRoute, "no route takes this host and path")
+        } else {
+            let text = "no route takes this host and path, but the routes may be out of date";
+            Refusal::new(Kind::NoConfig, text)
+        };
         return refuse(&state, &refusal, Some(&call), arrived_at);
     };
     let deadline_ms = call.deadline_ms.unwrap_or(route.timeout_ms);
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use catalog::{Catalog, Table};
@@ -17,6 +18,11 @@
 use crate::pool::Pool;
 use crate::stats::Stats;
 
+/// Time for which routes count as up to date after a control VM confirmed them.
+/// Changes are to be in force after 2 s, and control VMs may lag behind each
+/// other by half a second.
+const CONFIRMED_FOR: Duration = Duration::from_millis(1_500);
+
 /// Settings of an entry VM of a routed site.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -44,6 +50,8 @@
     pub table: ArcSwap<Table>,
     /// The catalog as far as it is known here.
     pub catalog: Ranked<Catalog>,
+    /// When a control VM last confirmed that the catalog is up to date.
+    confirmed_at: Ranked<Option<Instant>>,
     /// Backend servers.
     pub spread: Ranked<Spread>,
     /// Idle connections.
@@ -74,6 +82,7 @@
                 Rank::Spread,
                 Spread::new(settings.spread.clone(), Instant::now()),
             ),
+            confirmed_at: Ranked::new(Rank::Members, None),
             pool: Pool::default(),
             pace_in: Pace::new(settings.link_bytes_per_s),
             pace_out: Arc::new(Pace::new(settings.link_bytes_per_s)),
@@ -92,6 +101,18 @@
         !self.is_leaving() && self.table.load().is_known()
     }
 
+    /// A control VM that hears of a leader knows nothing newer.
+    pub fn confirm(&self, now: Instant) {
+        *self.confirmed_at.lock() = Some(now);
+    }
+
+    /// Whether the routes were up to date a moment ago, so that a route that is
+    /// not among them does not exist.
+    pub fn is_confirmed(&self, now: Instant) -> bool {
+        let confirmed_at = *self.confirmed_at.lock();
+        confirmed_at.is_some_and(|at| now.saturating_duration_since(at) < CONFIRMED_FOR)
+    }
+
     /// Whether this entry VM is leaving.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
--- a/crates/forward/tests/sends.rs
+++ b/crates/forward/tests/sends.rs
@@ -4,7 +4,10 @@
 mod common;
 
 use common::{Play, StandIn, entry, get, route, runs, stand_in, terms};
+use std::time::Duration;
+
 use rstest::rstest;
+use tokio::time::Instant;
 use world::RequestKind;
 
 /// Both kinds of routes, with a second in which to answer.
@@ -104,3 +107,25 @@
         "the server's connection is closed at once"
     );
 }
+
+#[tokio::test]
+async fn a_missing_route_is_told_only_while_the_routes_are_up_to_date() {
+    let server = stand_in("s1", &[Play::Answer(0)]).await;
+    let entry = entry(&items(), &[&server]).await;
+    let mut answers = vec![get(&entry, "/none/1", "r1").await];
+    let now = Instant::now();
+    entry.state.confirm(now);
+    answers.push(get(&entry, "/none/1", "r2").await);
+    entry
+        .state
+        .confirm(now.checked_sub(Duration::from_secs(2)).expect("time"));
+    answers.push(get(&entry, "/none/1", "r3").await);
+    assert_eq!(
+        answers,
+        [
+            "HTTP/1.1 503 Service Unavailable no_config",
+            "HTTP/1.1 404 Not Found no_route",
+            "HTTP/1.1 503 Service Unavailable no_config",
+        ]
+    );
+}
