Let a newer announcement end the doubt whether a server is cold

Now an announcement that is newer than the doubt settles it; one from before an evacuation's end still does not. Test, red before: a_newer_announcement_ends_the_doubt_whether_a_server_is_cold.

--- a/crates/spread/src/server.rs
+++ b/crates/spread/src/server.rs
@@ -41,6 +41,8 @@
     pub(crate) leaving: bool,
     pub(crate) cold_until: Instant,
     pub(crate) cold_sent: Sent,
+    /// Announcements from before tell nothing of how cold it is.
+    doubted_at: Option<Instant>,
     pub(crate) in_flight: u32,
     others: f64,
     pace: f64,
@@ -67,6 +69,7 @@
             leaving: row.draining,
             cold_until: now,
             cold_sent: Sent::default(),
+            doubted_at: None,
             in_flight: 0,
             others: 0.0,
             pace: 1.0,
@@ -82,18 +85,29 @@
 
     /// Takes in an announcement of the same start.
     pub(crate) fn announced(&mut self, row: &roster::ServerRow, age_ms: u64, now: Instant) {
+        let heard_at = now.checked_sub(ms(age_ms)).unwrap_or(now);
+        let newer = row.sequence > self.sequence && self.doubted_at.is_none_or(|at| at < heard_at);
         self.sequence = row.sequence;
         self.slots = row.slots;
         self.leaving |= row.draining;
-        let cold_ms = row.cold_ms.saturating_sub(age_ms);
-        if row.cold_ms > 0 {
-            self.cold_until = self.cold_until.max(now + ms(cold_ms));
-        }
+        let cold_until = now + ms(row.cold_ms.saturating_sub(age_ms));
+        self.cold_until = if newer {
+            cold_until
+        } else {
+            self.cold_until.max(cold_until)
+        };
         // It lives, so whoever could not reach it may try again.
         self.avoid_until = now;
         self.avoid = AVOID_MIN;
     }
 
+    /// It may have been restarted: until its next announcement tells, or until
+    /// `until`, it counts as cold.
+    pub(crate) fn doubt(&mut self, until: Instant, now: Instant) {
+        self.cold_until = self.cold_until.max(until);
+        self.doubted_at = Some(now);
+    }
+
     pub(crate) fn is_cold(&self, now: Instant) -> bool {
         now < self.cold_until
     }
--- a/crates/spread/src/spread.rs
+++ b/crates/spread/src/spread.rs
@@ -152,7 +152,7 @@
         for service in self.services.values_mut() {
             for server in service.servers.values_mut() {
                 if back.contains(&server.place.domain) {
-                    server.cold_until = server.cold_until.max(now + BACK_COLD);
+                    server.doubt(now + BACK_COLD, now);
                 }
             }
         }
--- a/crates/spread/tests/spread.rs
+++ b/crates/spread/tests/spread.rs
@@ -281,6 +281,35 @@
     assert!(!cold.is_empty() && cold.iter().all(|c| *c), "{cold:?}");
 }
 
+#[test]
+fn a_newer_announcement_ends_the_doubt_whether_a_server_is_cold() {
+    let now = Instant::now();
+    let mut spread = site(now);
+    cool(&mut spread, now);
+    let name = ServerName::new("north-a-1").unwrap();
+    let later = now + Duration::from_secs(1);
+    let cold = |spread: &mut Spread, now: Instant| {
+        let picks: Vec<Pick> = (0..200)
+            .filter_map(|object| choose(spread, object, true, now))
+            .collect();
+        let its = picks.into_iter().find(|pick| pick.server == name);
+        its.map(|pick| pick.cold)
+    };
+    let mut seen = vec![cold(&mut spread, later)];
+    let mut warm = row("north-a-1", "north-a");
+    warm.sequence = 3;
+    spread.announced(&warm, 0, later);
+    seen.push(cold(&mut spread, later));
+    // Taken back after that announcement, which therefore tells nothing.
+    let last = later + Duration::from_secs(2);
+    spread.set_evacuated(&[DomainName::new("north-a").unwrap()], last);
+    spread.set_evacuated(&[], last);
+    warm.sequence = 4;
+    spread.announced(&warm, 500, last);
+    seen.push(cold(&mut spread, last));
+    assert_eq!(seen, [Some(true), Some(false), Some(true)]);
+}
+
 fn slots(rows: &[(&str, f64)]) -> BTreeMap<RegionName, f64> {
     let row = |(name, slots): &(&str, f64)| (RegionName::new(name).unwrap(), *slots);
     rows.iter().map(row).collect()
