Let large answers take turns on the link, and others stand in for lost entry VMs

Cause: the links of entry VMs of 5.7 Mbit/s. Now a request with a large answer sets the link aside when it is admitted, waits for up to half of its latency objective and is refused beyond that with the time at which there is room. Entry VMs tell how busy their link is, and the directory names others in place of lost ones where the rest would be busy. Control VMs may listen on another port than others reach them at, for a relay. Tests: large_answers_take_turns_on_the_link, busy_entry_vms_get_help_for_those_that_are_lost (nothing of both existed before).

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::body::{AnswerBody, Stream};
 use crate::connection::{Connection, Failure};
 use crate::dialect::{Call, Dialect, Hop, Reply};
+use crate::large::Reserved;
 use crate::pace::SHORT_MAX_BYTES;
 use crate::state::State;
 
@@ -46,6 +47,8 @@
     pub body: Bytes,
     /// Whether it may run twice.
     pub repeats: bool,
+    /// Part of the link that is set aside for its answer, where that is large.
+    pub reserved: Option<Reserved>,
 }
 
 /// An answer of a backend server.
@@ -154,7 +157,7 @@
     }
     connection.idle_max = reply.idle_ms.map(ms);
     let closes = says_close(&head);
-    let read = match timeout_at(until, read(state, &mut connection, body)).await {
+    let read = match timeout_at(until, read(state, outgoing, &mut connection, body)).await {
         Ok(Some(read)) => read,
         Ok(None) => return lost_answer(&reply, End::Broken),
         Err(_) => return lost_answer(&reply, End::Silent),
@@ -254,6 +257,7 @@
 /// Reads a body; `None` when it broke off.
 async fn read<D: Dialect>(
     state: &State<D>,
+    outgoing: &Outgoing,
     connection: &mut Connection,
     mut body: Incoming,
 ) -> Option<Read> {
@@ -267,12 +271,19 @@
         }
         let next = poll_fn(|cx| connection.poll_body(&mut body, cx)).await;
         match next {
-            None => return Some(Read::Whole(whole.freeze())),
+            None => {
+                if outgoing.reserved.is_some() {
+                    state.large.learn(whole.len());
+                }
+                return Some(Read::Whole(whole.freeze()));
+            }
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
                     whole.extend_from_slice(&data);
-                    let next_at = state.pace_in.count(data.len());
-                    if whole.len() > SHORT_MAX_BYTES {
+                    let reserved = outgoing.reserved.as_ref();
+                    let uncovered = reserved.map_or(data.len(), |r| r.cover(data.len()));
+                    let next_at = state.pace_in.count(uncovered);
+                    if uncovered > 0 && whole.len() > SHORT_MAX_BYTES {
                         sleep_until(next_at).await;
                     }
                 }
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -295,6 +295,7 @@
         sleep(TEND_EVERY).await;
         state.spread.lock().advance(Instant::now());
         state.pool.expire();
+        state.measure_link();
         let paused = clock.advance().saturating_sub(TEND_EVERY);
         if paused > PAUSE_MAX {
             let paused_ms = as_ms(paused);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod explain;
 pub mod follow;
 pub mod front;
+pub mod large;
 pub mod pace;
 pub mod path;
 pub mod pause;
--- a/crates/forward/src/pace.rs
+++ b/crates/forward/src/pace.rs
@@ -24,27 +24,84 @@
 #[derive(Debug)]
 pub struct Pace {
     bytes_per_s: f64,
+    table: Ranked<Table>,
+}
+
+#[derive(Debug)]
+struct Table {
     /// When all that was counted so far has passed the link.
-    free_at: Ranked<Instant>,
+    free_at: Instant,
+    /// Bytes since the rate was last asked for.
+    bytes: f64,
+    asked_at: Instant,
 }
 
 impl Pace {
     /// A link of this rate.
     #[must_use]
     pub fn new(bytes_per_s: f64) -> Self {
+        let now = Instant::now();
+        let table = Table {
+            free_at: now,
+            bytes: 0.0,
+            asked_at: now,
+        };
         Self {
             bytes_per_s: bytes_per_s * USED_SHARE,
-            free_at: Ranked::new(Rank::Budgets, Instant::now()),
+            table: Ranked::new(Rank::Budgets, table),
         }
     }
 
     /// Counts bytes; gives when the next ones may go.
     pub fn count(&self, bytes: usize) -> Instant {
         let now = Instant::now();
-        let bytes = f64::from(u32::try_from(bytes).unwrap_or(u32::MAX));
-        let takes = Duration::from_secs_f64(bytes / self.bytes_per_s);
-        let mut free_at = self.free_at.lock();
-        *free_at = (*free_at).max(now) + takes;
-        free_at.checked_sub(BURST).map_or(now, |at| at.max(now))
+        let takes = self.takes(bytes);
+        let mut table = self.table.lock();
+        table.bytes += size(bytes);
+        table.free_at = table.free_at.max(now) + takes;
+        table
+            .free_at
+            .checked_sub(BURST)
+            .map_or(now, |at| at.max(now))
+    }
+
+    /// Takes back bytes that were counted and did not come.
+    pub fn give_back(&self, bytes: usize) {
+        let takes = self.takes(bytes);
+        let mut table = self.table.lock();
+        table.bytes -= size(bytes);
+        if let Some(at) = table.free_at.checked_sub(takes) {
+            table.free_at = at;
+        }
+    }
+
+    /// Time until all that was counted so far has passed the link.
+    #[must_use]
+    pub fn ahead(&self) -> Duration {
+        let free_at = self.table.lock().free_at;
+        free_at.saturating_duration_since(Instant::now())
+    }
+
+    /// Share of the link that was used since the last call, percent.
+    pub fn take_busy_percent(&self) -> f64 {
+        let now = Instant::now();
+        let mut table = self.table.lock();
+        let bytes = std::mem::take(&mut table.bytes);
+        let since = now.saturating_duration_since(table.asked_at);
+        table.asked_at = now;
+        let could = since.as_secs_f64() * self.bytes_per_s;
+        if could > 0.0 {
+            100.0 * bytes.max(0.0) / could
+        } else {
+            0.0
+        }
     }
+
+    fn takes(&self, bytes: usize) -> Duration {
+        Duration::from_secs_f64(size(bytes) / self.bytes_per_s)
+    }
+}
+
+fn size(bytes: usize) -> f64 {
+    f64::from(u32::try_from(bytes).unwrap_or(u32::MAX))
 }
--- a/crates/forward/src/path.rs
+++ b/crates/forward/src/path.rs
@@ -9,7 +9,7 @@
 use hyper::{Request, Response, Uri};
 use spread::End;
 use steer::hash::{self, Purpose};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 use world::unit::{as_ms, ms};
 use world::{Error, Kind, RequestKind, Route, ServerName, ServiceName};
 
@@ -18,6 +18,7 @@
 use crate::body::AnswerBody;
 use crate::dialect::{Call, Dialect};
 use crate::explain::Outcome;
+use crate::large::{self, Reserved, Turn};
 use crate::state::State;
 
 /// Largest body that is taken while no limits are known, bytes.
@@ -88,6 +89,10 @@
         Ok(body) => body,
         Err(refusal) => return refuse(&state, &refusal, Some(&call), arrived_at),
     };
+    let reserved = match take_turn(&state, route, until).await {
+        Ok(reserved) => reserved,
+        Err(refusal) => return refuse_on(&state, &refusal, &call, route, arrived_at),
+    };
     let target = head.uri.path_and_query().cloned().map(Uri::from);
     let outgoing = Outgoing {
         call,
@@ -96,6 +101,7 @@
         headers: answer::passed_on(head.headers),
         body,
         repeats: route.kind.repeats(),
+        reserved,
     };
     let mut tries = Tries::new(&state, route, &outgoing, until);
     match tries.run().await {
@@ -151,6 +157,36 @@
     }
 }
 
+/// Waits until this machine's link has room for the answer, where that is large.
+async fn take_turn<D: Dialect>(
+    state: &State<D>,
+    route: &Route,
+    until: Instant,
+) -> Result<Option<Reserved>, Refusal> {
+    if route.kind != RequestKind::Download {
+        return Ok(None);
+    }
+    let ahead = state.pace_in.ahead().max(state.pace_out.ahead());
+    let wait = match large::turn(ahead, ms(route.target_ms)) {
+        Turn::After(wait) => wait,
+        Turn::Full(wait) => {
+            let wait_ms = as_ms(wait);
+            return Err(Refusal {
+                error: Error::new(
+                    Kind::Overloaded,
+                    format!("this machine's link has room for large answers in {wait_ms} ms"),
+                ),
+                retry_after_ms: Some(u32::try_from(wait_ms).unwrap_or(u32::MAX)),
+            });
+        }
+    };
+    let reserved = state.large.reserve(&state.pace_in);
+    if !wait.is_zero() {
+        sleep_until((Instant::now() + wait).min(until)).await;
+    }
+    Ok(Some(reserved))
+}
+
 /// The sends of one request.
 struct Tries<'a, D: Dialect> {
     state: &'a State<D>,
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -14,6 +14,7 @@
 
 use crate::dialect::{Call, Dialect};
 use crate::explain::{Explain, Outcome};
+use crate::large::Sizes;
 use crate::pace::Pace;
 use crate::pool::Pool;
 use crate::stats::Stats;
@@ -23,6 +24,13 @@
 /// other by half a second.
 const CONFIRMED_FOR: Duration = Duration::from_millis(1_500);
 
+/// Weight of one more measurement of the link: callers keep look-ups for 2 s,
+/// which is four of them.
+const BUSY_WEIGHT: f64 = 0.4;
+
+/// Largest use of the link that is told, percent.
+const BUSY_MAX_PERCENT: f64 = 300.0;
+
 /// Settings of an entry VM of a routed site.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -57,9 +65,13 @@
     /// Idle connections.
     pub pool: Pool,
     /// Bytes that come over this machine's link.
-    pub pace_in: Pace,
+    pub pace_in: Arc<Pace>,
     /// Bytes that go over this machine's link.
     pub pace_out: Arc<Pace>,
+    /// Sizes of large answers.
+    pub large: Sizes,
+    /// Share of the link that was used lately, percent.
+    busy_percent: AtomicU32,
     /// Counters and histograms.
     pub stats: Stats,
     pub(crate) explain: Explain,
@@ -84,7 +96,9 @@
             ),
             confirmed_at: Ranked::new(Rank::Members, None),
             pool: Pool::default(),
-            pace_in: Pace::new(settings.link_bytes_per_s),
+            pace_in: Arc::new(Pace::new(settings.link_bytes_per_s)),
+            large: Sizes::default(),
+            busy_percent: AtomicU32::new(0),
             pace_out: Arc::new(Pace::new(settings.link_bytes_per_s)),
             stats: Stats::new()?,
             explain: Explain::default(),
@@ -130,11 +144,23 @@
             front: self.settings.front,
             place: self.settings.spread.place.clone(),
             leaving: !self.is_ready(),
+            busy_percent: self.busy_percent.load(Ordering::Relaxed),
             born_ms: self.boot,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
         })
     }
 
+    /// Measures the link: once every half second or so.
+    pub fn measure_link(&self) {
+        let both = [&self.pace_in, &self.pace_out].map(|pace| pace.take_busy_percent());
+        let busy = both[0].max(both[1]).clamp(0.0, BUSY_MAX_PERCENT);
+        let known = f64::from(self.busy_percent.load(Ordering::Relaxed));
+        let busy = known + (busy - known) * BUSY_WEIGHT;
+        let busy = Duration::from_secs_f64(busy).as_secs();
+        let busy = u32::try_from(busy).unwrap_or(u32::MAX);
+        self.busy_percent.store(busy, Ordering::Relaxed);
+    }
+
     /// Takes in rows of the catalog.
     pub fn merge_catalog(&self, rows: Vec<catalog::Row>) {
         let now = Instant::now();
--- a/crates/forward/tests/pace.rs
+++ b/crates/forward/tests/pace.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use forward::AnswerBody;
+use forward::large::{Sizes, Turn, turn};
 use forward::pace::Pace;
 use hyper::body::Body;
 use tokio::time::Instant;
@@ -45,3 +46,29 @@
     drain(AnswerBody::paced(Bytes::from(vec![1; 1_500]), &pace)).await;
     assert_eq!(begun_at.elapsed(), Duration::ZERO);
 }
+
+#[tokio::test(start_paused = true)]
+async fn large_answers_take_turns_on_the_link() {
+    let pace = Arc::new(Pace::new(LINK_BYTES_PER_S));
+    let sizes = Sizes::default();
+    for _ in 0..200 {
+        sizes.learn(90_000);
+    }
+    let target = Duration::from_secs(1);
+    let mut turns = Vec::new();
+    let mut reserved = Vec::new();
+    for _ in 0..8 {
+        let turn = turn(pace.ahead(), target);
+        turns.push(format!("{turn:?}"));
+        if let Turn::After(_) = turn {
+            reserved.push(sizes.reserve(&pace));
+        }
+    }
+    insta::assert_snapshot!(turns.join("\n"));
+    assert_eq!(reserved[0].cover(100_000) / 1_000, 10);
+    drop(reserved);
+    assert!(
+        pace.ahead() < Duration::from_millis(200),
+        "the unused rest is free"
+    );
+}
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -67,7 +67,7 @@
     /// # Errors
     /// When the disk can't be opened or the address can't be bound.
     pub async fn start(settings: Settings) -> anyhow::Result<Arc<Self>> {
-        let listener = TcpListener::bind(settings.link()).await?;
+        let listener = TcpListener::bind(settings.listen()).await?;
         let name = settings.name()?;
         let mut seeds: Vec<MachineName> = settings
             .seeds
@@ -197,7 +197,7 @@
     pub fn entries_near(&self, place: &Place) -> Vec<SocketAddr> {
         let now = Instant::now();
         let roster = self.roster.lock();
-        let near = roster.entries_near(place, now);
+        let near = roster.entries_near(place, rand::random(), now);
         near.into_iter().map(|row: &EntryRow| row.front).collect()
     }
 
--- a/crates/hub/src/settings.rs
+++ b/crates/hub/src/settings.rs
@@ -17,6 +17,9 @@
     pub domains: BTreeMap<DomainName, RegionName>,
     /// Port on every control VM for the system's own processes.
     pub link_port: u16,
+    /// Port on which this machine itself listens for them: another one where a
+    /// relay stands in front of it.
+    pub listen_port: u16,
     /// Some control VMs, known from the start.
     pub seeds: Vec<IpAddr>,
     /// Whether the site starts for the first time.
@@ -34,6 +37,12 @@
         SocketAddr::new(self.ip, self.link_port)
     }
 
+    /// Address on which this machine listens for the system's own processes.
+    #[must_use]
+    pub fn listen(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, self.listen_port)
+    }
+
     /// Name of this machine.
     ///
     /// # Errors
--- a/crates/roster/src/row.rs
+++ b/crates/roster/src/row.rs
@@ -39,6 +39,8 @@
     pub place: Place,
     /// Whether callers should go elsewhere.
     pub leaving: bool,
+    /// Share of its link that is used, percent.
+    pub busy_percent: u32,
     /// Its start, Unix milliseconds.
     pub born_ms: u64,
     /// Number of the announcement since that start.
--- a/crates/roster/src/table.rs
+++ b/crates/roster/src/table.rs
@@ -4,12 +4,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use steer::hash::{self, Purpose};
 use tokio::time::Instant;
 use world::unit::{as_ms, ms};
 use world::{Place, ServerName};
 
 use crate::row::{ControlRow, EntryRow, Key, News, Row, ServerRow};
 
+/// Share of its link from which on an entry VM counts as busy, percent: beyond
+/// it short answers wait behind large ones.
+const BUSY_PERCENT: usize = 70;
+
 /// Settings of a [`Roster`].
 #[derive(Clone, Copy, Debug)]
 pub struct RosterSettings {
@@ -239,19 +244,46 @@
     }
 
     /// The entry VMs that a caller at `place` should use: those of its failure
-    /// domain, else of its region, else all.
+    /// domain, else of its region, else all. Where some of the domain are lost
+    /// and the others would be busy with the callers of all, as many others
+    /// stand in for them, drawn by `draw` so that each takes a part.
     #[must_use]
-    pub fn entries_near(&self, place: &Place, now: Instant) -> Vec<&EntryRow> {
+    pub fn entries_near(&self, place: &Place, draw: u64, now: Instant) -> Vec<&EntryRow> {
         let all: Vec<&EntryRow> = self.entries(now).map(|(row, _)| row).collect();
         let same_domain = |row: &&EntryRow| row.place == *place;
         let same_region = |row: &&EntryRow| row.place.region == place.region;
-        let near: Vec<&EntryRow> = all.iter().copied().filter(same_domain).collect();
+        let mut near: Vec<&EntryRow> = all.iter().copied().filter(same_domain).collect();
+        let missing = self.missing(place, &near);
+        if missing > 0 {
+            let mut others: Vec<&EntryRow> =
+                all.iter().copied().filter(|r| !same_domain(r)).collect();
+            others
+                .sort_by_key(|row| hash::mix(hash::name(row.name.as_str()), draw, Purpose::Helper));
+            near.extend(others.into_iter().take(missing));
+        }
         if !near.is_empty() {
             return near;
         }
         let near: Vec<&EntryRow> = all.iter().copied().filter(same_region).collect();
         if near.is_empty() { all } else { near }
     }
+
+    /// How many entry VMs of a domain need someone to stand in for them: those
+    /// that are lost, if the callers of all would keep the `near` ones busy.
+    fn missing(&self, place: &Place, near: &[&EntryRow]) -> usize {
+        let entries = self.rows.values().filter_map(|held| match &held.row {
+            Row::Entry(row) if row.place == *place => Some(row),
+            _ => None,
+        });
+        let (mut usual, mut busy_percent) = (0, 0);
+        for row in entries {
+            usual += 1;
+            busy_percent += row.busy_percent as usize;
+        }
+        // Each as busy as the mean of all was, with the callers of all.
+        let busy = !near.is_empty() && busy_percent >= near.len() * BUSY_PERCENT;
+        if busy { usual - near.len() } else { 0 }
+    }
 }
 
 impl Held {
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -33,6 +33,7 @@
         front: ([10, 0, 0, 2], 80).into(),
         place,
         leaving,
+        busy_percent: 0,
         born_ms: 1,
         sequence,
     })
@@ -111,7 +112,7 @@
     roster.merge(entry("e2", place("north", "north-b"), 1, false), 0, now);
     roster.merge(entry("e3", place("south", "south-a"), 1, false), 0, now);
     let near = |r: &Roster, at: Instant| {
-        let rows = r.entries_near(&place("north", "north-a"), at);
+        let rows = r.entries_near(&place("north", "north-a"), 0, at);
         let mut names: Vec<String> = rows.iter().map(|row| row.name.to_string()).collect();
         names.sort();
         names.join(" ")
@@ -124,3 +125,50 @@
     seen.push(near(&roster, later));
     assert_eq!(seen, ["e1", "e2", "e3"]);
 }
+
+/// Entry VMs of three domains, four in each, with half of `north-a` lost.
+fn half_lost(busy_percent: u32) -> (Roster, Instant) {
+    let (mut roster, now) = roster();
+    let later = now + Duration::from_secs(3);
+    let domains = [
+        ("north", "north-a"),
+        ("north", "north-b"),
+        ("south", "south-a"),
+    ];
+    for (region, domain) in domains {
+        for at in 1..=4 {
+            let row = |sequence| {
+                let name = format!("{domain}-{at}");
+                let row = entry(&name, place(region, domain), sequence, false);
+                let Row::Entry(row) = row else { unreachable!() };
+                Row::Entry(EntryRow {
+                    busy_percent,
+                    ..row
+                })
+            };
+            roster.merge(row(1), 0, now);
+            if domain != "north-a" || at <= 2 {
+                roster.merge(row(2), 0, later);
+            }
+        }
+    }
+    (roster, later)
+}
+
+#[test]
+fn busy_entry_vms_get_help_for_those_that_are_lost() {
+    let told = |roster: &Roster, draw: u64, at: Instant| -> Vec<String> {
+        let rows = roster.entries_near(&place("north", "north-a"), draw, at);
+        rows.iter().map(|row| row.name.to_string()).collect()
+    };
+    let (idle, later) = half_lost(20);
+    assert_eq!(told(&idle, 1, later).len(), 2, "there is room");
+    let (busy, later) = half_lost(50);
+    let mut helpers = std::collections::BTreeSet::new();
+    for draw in 0..50 {
+        let names = told(&busy, draw, later);
+        assert_eq!(names.len(), 4, "as many as there were: {names:?}");
+        helpers.extend(names.into_iter().filter(|n| !n.starts_with("north-a")));
+    }
+    assert_eq!(helpers.len(), 8, "each helps at times: {helpers:?}");
+}
