--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -76,6 +76,30 @@
         })
     }
 
+    /// Starts a program that does not say when it is ready. Its output goes to
+    /// `NAME.log` in `dir`.
+    ///
+    /// # Errors
+    /// When it doesn't start.
+    pub fn launch(mut command: Command, name: &str, dir: &Path) -> anyhow::Result<Self> {
+        let log = dir.join(format!("{name}.log"));
+        let file = File::options().create(true).append(true).open(&log);
+        let file = file.with_context(|| format!("could not open {}", log.display()))?;
+        let child = command
+            .stdin(Stdio::null())
+            .stdout(file.try_clone()?)
+            .stderr(file)
+            .kill_on_drop(true)
+            .spawn()
+            .with_context(|| format!("could not start {name}"))?;
+        Ok(Self {
+            name: name.to_owned(),
+            ready: Value::Null,
+            log,
+            child,
+        })
+    }
+
     /// An address out of what the process printed when it was ready.
     ///
     /// # Errors
@@ -148,6 +172,14 @@
         self.signal(Signal::SIGCONT)
     }
 
+    /// Asks the process to read its settings again.
+    ///
+    /// # Errors
+    /// When it can't be signalled.
+    pub fn hang_up(&self) -> anyhow::Result<()> {
+        self.signal(Signal::SIGHUP)
+    }
+
     /// Asks the process to leave.
     ///
     /// # Errors
--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -77,9 +77,17 @@
     /// # Errors
     /// When no port can be bound.
     pub async fn start() -> anyhow::Result<Self> {
-        let listener = TcpListener::bind(("127.0.0.1", 0))
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0))).await
+    }
+
+    /// Binds this address; connections wait until a target is set.
+    ///
+    /// # Errors
+    /// When it can't be bound.
+    pub async fn start_at(addr: SocketAddr) -> anyhow::Result<Self> {
+        let listener = TcpListener::bind(addr)
             .await
-            .context("could not bind a port on loopback")?;
+            .with_context(|| format!("could not bind {addr}"))?;
         let addr = listener.local_addr()?;
         let plan = Arc::new(watch::Sender::new(Plan::default()));
         let mut tasks = JoinSet::new();
