Leave within the grace when control VMs are slow to hear of it

The time of telling every control VM, one after the other and each with the whole roster in its answer, came on top of the 2.5 s for which requests are still taken, while requests may last 3 s. Now the control VMs are told at once and beside the rest, from where each was left.

--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -274,16 +274,21 @@
         }
     }
 
-    /// Tells every control VM at once that this entry VM leaves.
-    pub async fn say_leaving(&self) {
+    /// Tells every control VM at once that this entry VM leaves. Whoever is not
+    /// reached hears of it from the others.
+    pub fn say_leaving(self: &Arc<Self>) {
         let ips: Vec<IpAddr> = self.controls.lock().iter().map(|c| c.ip).collect();
-        let asks = ips.into_iter().map(|ip| {
-            let addr = SocketAddr::new(ip, self.state.settings.link_port);
-            self.ask(addr, Cursor::default())
-        });
-        for ask in asks {
-            // Whoever is not reached hears of it from the others.
-            let _ = tokio::time::timeout(PAUSE, ask).await;
+        for ip in ips {
+            let follow = Arc::clone(self);
+            tokio::spawn(async move {
+                let addr = SocketAddr::new(ip, follow.state.settings.link_port);
+                let known = follow.following.lock().cursors.get(&ip).copied();
+                let told = follow.ask(addr, known.unwrap_or_default()).await;
+                log::info!(
+                    target: "forward", control:% = ip, told = told.is_some();
+                    "told that this entry VM leaves"
+                );
+            });
         }
     }
 }
--- a/crates/steer/src/hash.rs
+++ b/crates/steer/src/hash.rs
@@ -39,8 +39,6 @@
     Cold,
     /// Service of a route that gets a request.
     Part,
-    /// Copy of an object that an entry VM begins with.
-    Copy,
     /// Entry VM that stands in for a lost one.
     Helper,
 }
