--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -145,6 +145,7 @@
             place: self.settings.spread.place.clone(),
             leaving: !self.is_ready(),
             busy_percent: self.busy_percent.load(Ordering::Relaxed),
+            demand_per_s: self.spread.lock().demand_per_s(),
             born_ms: self.boot,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
         })
@@ -159,6 +160,7 @@
         let busy = Duration::from_secs_f64(busy).as_secs();
         let busy = u32::try_from(busy).unwrap_or(u32::MAX);
         self.busy_percent.store(busy, Ordering::Relaxed);
+        self.stats.link_busy(busy);
     }
 
     /// Takes in rows of the catalog.
--- a/crates/forward/src/stats.rs
+++ b/crates/forward/src/stats.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry};
+use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry};
 use spread::{End, Pick};
 use world::Route;
 
@@ -18,6 +18,7 @@
     latency: HistogramVec,
     sends: IntCounterVec,
     again: IntCounterVec,
+    link_busy: IntGauge,
 }
 
 impl Stats {
@@ -37,11 +38,13 @@
             latency: HistogramVec::new(latency, &["kind"])?,
             sends: counter("sends_total", "Sends to servers", &["service", "end"])?,
             again: counter("second_sends_total", "Second sends", &["after"])?,
+            link_busy: IntGauge::new("link_busy_percent", "Share of the link that is used")?,
         };
         stats.registry.register(Box::new(stats.requests.clone()))?;
         stats.registry.register(Box::new(stats.latency.clone()))?;
         stats.registry.register(Box::new(stats.sends.clone()))?;
         stats.registry.register(Box::new(stats.again.clone()))?;
+        stats.registry.register(Box::new(stats.link_busy.clone()))?;
         Ok(stats)
     }
 
@@ -58,6 +61,10 @@
         self.sends.with_label_values(&labels).inc();
     }
 
+    pub(crate) fn link_busy(&self, percent: u32) {
+        self.link_busy.set(i64::from(percent));
+    }
+
     pub(crate) fn again(&self, after: End) {
         self.again.with_label_values(&[after.as_str()]).inc();
     }
