Take the shares that follow demand back

Objects that move to another region are forgotten there, and demand told by entry VMs jumps while these restart.

--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -238,7 +238,6 @@
                 Row::Control(_) => {}
             }
         }
-        spread.set_demand(&give.demand_per_s);
         drop(spread);
         if controls.is_empty() {
             return;
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -145,7 +145,6 @@
             place: self.settings.spread.place.clone(),
             leaving: !self.is_ready(),
             busy_percent: self.busy_percent.load(Ordering::Relaxed),
-            demand_per_s: self.spread.lock().demand_per_s(),
             born_ms: self.boot,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
         })
--- a/crates/hub/src/feed.rs
+++ b/crates/hub/src/feed.rs
@@ -5,7 +5,7 @@
 //! announces the reader itself.
 
 use bytes::Bytes;
-use roster::{Demand, News, Row};
+use roster::{News, Row};
 use serde::{Deserialize, Serialize};
 use world::{Error, Kind, Result};
 
@@ -52,8 +52,6 @@
     pub catalog: Vec<catalog::Row>,
     /// Rows of the roster.
     pub news: Vec<News>,
-    /// Requests a second by service and region; nothing for control VMs.
-    pub demand_per_s: Demand,
 }
 
 /// Encodes a message of the feed.
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -9,7 +9,7 @@
 use control::Group;
 use peers::{Identity, Links, accept};
 use quorum::{FileDisk, OpenMembership};
-use roster::{ControlRow, Demand, EntryRow, News, Roster, RosterSettings, Row, ServerRow};
+use roster::{ControlRow, EntryRow, News, Roster, RosterSettings, Row, ServerRow};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -271,13 +271,13 @@
 
     fn give(&self, reader: Reader, cursor: u64, catalog_index: u64) -> Give {
         let now = Instant::now();
-        let (news, demand_per_s, next) = {
+        let (news, next) = {
             let roster = self.roster.lock();
-            let (news, demand_per_s) = match reader {
-                Reader::Entry => (roster.changed_since(cursor, now), roster.demand_per_s(now)),
-                Reader::Control => (roster.touched_since(cursor, now), Demand::new()),
+            let news = match reader {
+                Reader::Entry => roster.changed_since(cursor, now),
+                Reader::Control => roster.touched_since(cursor, now),
             };
-            (news, demand_per_s, roster.clock())
+            (news, roster.clock())
         };
         let (catalog, index) = match reader {
             Reader::Entry => self
@@ -294,7 +294,6 @@
             catalog_index: index,
             catalog,
             news,
-            demand_per_s,
         }
     }
 
--- a/crates/roster/src/row.rs
+++ b/crates/roster/src/row.rs
@@ -1,6 +1,5 @@
 //! Rows of the roster.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -30,7 +29,7 @@
 }
 
 /// An entry VM as it announced itself.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EntryRow {
     /// Name, unique in the site.
     pub name: MachineName,
@@ -42,8 +41,6 @@
     pub leaving: bool,
     /// Share of its link that is used, percent.
     pub busy_percent: u32,
-    /// Requests a second of its callers, by service.
-    pub demand_per_s: BTreeMap<ServiceName, f64>,
     /// Its start, Unix milliseconds.
     pub born_ms: u64,
     /// Number of the announcement since that start.
@@ -66,7 +63,7 @@
 }
 
 /// Any row.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Row {
     /// A backend server.
     Server(ServerRow),
@@ -88,7 +85,7 @@
 }
 
 /// A row on its way to another process.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct News {
     /// The row.
     pub row: Row,
--- a/crates/roster/src/table.rs
+++ b/crates/roster/src/table.rs
@@ -1,13 +1,13 @@
 //! The table of rows: merging, silence, and what changed since when.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use steer::hash::{self, Purpose};
 use tokio::time::Instant;
 use world::unit::{as_ms, ms};
-use world::{Place, RegionName, ServerName, ServiceName};
+use world::{Place, ServerName};
 
 use crate::row::{ControlRow, EntryRow, Key, News, Row, ServerRow};
 
@@ -15,9 +15,6 @@
 /// it short answers wait behind large ones.
 const BUSY_PERCENT: usize = 70;
 
-/// Requests a second by service and by region of their callers.
-pub type Demand = BTreeMap<ServiceName, BTreeMap<RegionName, f64>>;
-
 /// Settings of a [`Roster`].
 #[derive(Clone, Copy, Debug)]
 pub struct RosterSettings {
@@ -246,19 +243,6 @@
         })
     }
 
-    /// Requests a second by service and by region of their callers.
-    #[must_use]
-    pub fn demand_per_s(&self, now: Instant) -> Demand {
-        let mut demand = Demand::new();
-        for (row, _) in self.entries(now) {
-            for (service, per_s) in &row.demand_per_s {
-                let regions = demand.entry(service.clone()).or_default();
-                *regions.entry(row.place.region.clone()).or_default() += per_s;
-            }
-        }
-        demand
-    }
-
     /// The entry VMs that a caller at `place` should use: those of its failure
     /// domain, else of its region, else all. Where some of the domain are lost
     /// and the others would be busy with the callers of all, as many others
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -1,6 +1,5 @@
 //! Rows that come late, twice, from an earlier start, or fall silent.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use roster::{EntryRow, Roster, RosterSettings, Row, ServerRow};
@@ -35,7 +34,6 @@
         place,
         leaving,
         busy_percent: 0,
-        demand_per_s: BTreeMap::from([(ServiceName::new("slots").unwrap(), 5.0)]),
         born_ms: 1,
         sequence,
     })
@@ -166,7 +164,7 @@
     let (idle, later) = half_lost(20);
     assert_eq!(told(&idle, 1, later).len(), 2, "there is room");
     let (busy, later) = half_lost(50);
-    let mut helpers = BTreeSet::new();
+    let mut helpers = std::collections::BTreeSet::new();
     for draw in 0..50 {
         let names = told(&busy, draw, later);
         assert_eq!(names.len(), 4, "as many as there were: {names:?}");
@@ -174,18 +172,3 @@
     }
     assert_eq!(helpers.len(), 8, "each helps at times: {helpers:?}");
 }
-
-#[test]
-fn demand_is_summed_by_region_over_entry_vms_that_live() {
-    let (roster, later) = half_lost(0);
-    let demand = roster.demand_per_s(later);
-    let rows: Vec<String> = demand
-        .iter()
-        .flat_map(|(service, regions)| {
-            let row =
-                move |(region, per_s): (&RegionName, &f64)| format!("{service} {region} {per_s}");
-            regions.iter().map(row)
-        })
-        .collect();
-    assert_eq!(rows, ["slots north 30", "slots south 20"]);
-}
--- a/crates/spread/src/service.rs
+++ b/crates/spread/src/service.rs
@@ -12,7 +12,7 @@
 use crate::estimate::{self, Standing};
 use crate::request::{Full, Pick, Request};
 use crate::server::Server;
-use crate::shares::{self, Asked, Shares};
+use crate::shares::{self, Shares};
 
 /// Typical time of an answer before any is known, milliseconds.
 const TYPICAL_START_MS: f64 = 200.0;
@@ -79,7 +79,6 @@
     /// Requests that leave the region of their object for want of room.
     overflow: Budget,
     pub shares: Shares,
-    pub demand: Asked,
     typical_ms: f64,
 }
 
@@ -117,7 +116,6 @@
             }),
             overflow: Budget::new(OVERFLOW),
             shares: Shares::default(),
-            demand: Asked::default(),
             typical_ms: TYPICAL_START_MS,
         }
     }
@@ -145,8 +143,7 @@
             let region = server.place.region.clone();
             *slots.entry(region).or_default() += f64::from(server.slots);
         }
-        self.demand.advance(now);
-        let target = shares::target(&site.place.region, &slots, &self.demand.by_region);
+        let target = shares::target(&site.place.region, &slots);
         self.shares.advance(&target, now);
     }
 
--- a/crates/spread/src/shares.rs
+++ b/crates/spread/src/shares.rs
@@ -1,7 +1,7 @@
 //! Which share of this region's requests runs in which region.
 //!
-//! A region keeps as much as its part of all slots allows, given its part of the
-//! demand; the rest goes where slots are left over. Shares move at a bounded rate, so that caches in the
+//! A region keeps as much as its part of all slots allows; the rest goes where
+//! slots are left over. Shares move at a bounded rate, so that caches in the
 //! other regions warm up as the flow rises.
 
 use std::collections::BTreeMap;
@@ -19,38 +19,6 @@
 /// step a second.
 const TELL_STEP: f64 = 0.05;
 
-/// Demand of each region that is added to what is told, requests a second, so
-/// that little demand counts as spread evenly.
-const DEMAND_FLOOR_PER_S: f64 = 5.0;
-
-/// Weight of one more measurement of the demand; there are two a second, and
-/// shares take several seconds to follow it.
-const DEMAND_WEIGHT: f64 = 0.3;
-
-/// Demand for one service.
-#[derive(Clone, Debug, Default)]
-pub struct Asked {
-    /// Requests of the callers here since the last measurement.
-    pub asked: u32,
-    /// Requests a second of the callers here.
-    pub per_s: f64,
-    /// Requests a second of all callers, by their region.
-    pub by_region: BTreeMap<RegionName, f64>,
-    measured_at: Option<Instant>,
-}
-
-impl Asked {
-    /// Measures the demand here.
-    pub fn advance(&mut self, now: Instant) {
-        let before = self.measured_at.replace(now);
-        let since = before.map(|at| now.saturating_duration_since(at).as_secs_f64());
-        let asked = f64::from(std::mem::take(&mut self.asked));
-        if let Some(since) = since.filter(|s| *s > 0.0) {
-            self.per_s += (asked / since - self.per_s) * DEMAND_WEIGHT;
-        }
-    }
-}
-
 /// Shares by region, of one service and one region of callers.
 #[derive(Clone, Debug, Default)]
 pub struct Shares {
@@ -60,28 +28,18 @@
     told: f64,
 }
 
-/// Shares for callers of `home` where regions have these slots and these
-/// requests a second.
+/// Shares for callers of `home` where regions have these slots and callers are
+/// spread evenly over regions.
 #[must_use]
-pub fn target(
-    home: &RegionName,
-    slots: &BTreeMap<RegionName, f64>,
-    demand_per_s: &BTreeMap<RegionName, f64>,
-) -> BTreeMap<RegionName, f64> {
+pub fn target(home: &RegionName, slots: &BTreeMap<RegionName, f64>) -> BTreeMap<RegionName, f64> {
     let total: f64 = slots.values().sum();
     if total <= 0.0 {
         return BTreeMap::new();
     }
-    let asked =
-        |region: &RegionName| demand_per_s.get(region).copied().unwrap_or(0.0) + DEMAND_FLOOR_PER_S;
-    let strangers = demand_per_s
-        .keys()
-        .filter(|region| !slots.contains_key(*region));
-    let all_asked: f64 = slots.keys().chain(strangers).map(asked).sum();
-    let needed = |region: &RegionName| asked(region) / all_asked;
-    let there = |region: &RegionName| slots.get(region).map_or(0.0, |s| s / total);
-    let own = (there(home) / needed(home)).min(1.0);
-    let spare = |region: &RegionName| (there(region) - needed(region)).max(0.0);
+    let regions = f64::from(u32::try_from(slots.len()).unwrap_or(1));
+    let fair = |region: &RegionName| slots.get(region).map_or(0.0, |s| s * regions / total);
+    let own = fair(home).min(1.0);
+    let spare = |region: &RegionName| (fair(region) - 1.0).max(0.0);
     let others = || slots.keys().filter(|region| *region != home);
     let all_spare: f64 = others().map(spare).sum();
     let mut target = BTreeMap::from([(home.clone(), own)]);
--- a/crates/spread/src/spread.rs
+++ b/crates/spread/src/spread.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use roster::{Demand, ServerRow};
+use roster::ServerRow;
 use steer::hash;
 use tokio::time::Instant;
 use world::{DomainName, MachineName, RegionName, ServerName, ServiceName, ServiceTerms};
@@ -200,8 +200,7 @@
             service.advance(&site, now);
             if let Some(own) = service.shares.news(&site.place.region) {
                 log::info!(
-                    target: "belief", service:% = name, region:% = site.place.region,
-                    own_share = own, demand_per_s:? = service.demand.by_region;
+                    target: "belief", service:% = name, region:% = site.place.region, own_share = own;
                     "share that stays in the region moved"
                 );
             }
@@ -284,30 +283,9 @@
         self.ways_ms.get(region).copied().unwrap_or(WAY_START_MS)
     }
 
-    /// Requests a second of the callers here, by service.
-    #[must_use]
-    pub fn demand_per_s(&self) -> BTreeMap<ServiceName, f64> {
-        let services = self.services.iter();
-        let asked = services.filter(|(_, service)| service.demand.per_s > 0.0);
-        asked
-            .map(|(name, service)| (name.clone(), service.demand.per_s))
-            .collect()
-    }
-
-    /// Takes in what all entry VMs tell of the demand of their callers.
-    pub fn set_demand(&mut self, demand: &Demand) {
-        for (service, per_s) in demand {
-            if let Some(service) = self.services.get_mut(service) {
-                service.demand.by_region.clone_from(per_s);
-            }
-        }
-    }
-
     /// Counts a first send to a service.
     pub fn earn(&mut self, service: &ServiceName) {
-        let service = self.service(service);
-        service.budget.earn();
-        service.demand.asked += 1;
+        self.service(service).budget.earn();
     }
 
     /// Pays for a second send to a service, if the budget allows it.
--- a/crates/spread/tests/spread.rs
+++ b/crates/spread/tests/spread.rs
@@ -321,7 +321,7 @@
     let rows: Vec<String> = slots
         .keys()
         .map(|home| {
-            let shares = target(home, &slots, &BTreeMap::new());
+            let shares = target(home, &slots);
             let row = |(to, share): (&RegionName, &f64)| format!("{to} {share:.2}");
             format!(
                 "{home}: {}",
@@ -332,47 +332,11 @@
     insta::assert_snapshot!(rows.join("\n"));
 }
 
-#[test]
-fn shares_follow_demand() {
-    let supply = slots(&[("east", 90.0), ("mid", 72.0), ("west", 18.0)]);
-    let row = |demand: &[(&str, f64)]| {
-        let demand = slots(demand);
-        let shares = supply.keys().map(|home| {
-            let target = target(home, &supply, &demand);
-            let parts = target.iter().map(|(to, share)| format!("{to} {share:.2}"));
-            format!("{home}: {}", parts.collect::<Vec<_>>().join(", "))
-        });
-        shares.collect::<Vec<_>>().join("; ")
-    };
-    let rows = [
-        row(&[("east", 100.0), ("mid", 100.0), ("west", 100.0)]),
-        row(&[("east", 60.0), ("mid", 80.0), ("west", 160.0)]),
-        row(&[("east", 160.0), ("mid", 80.0), ("west", 60.0)]),
-        row(&[("east", 0.0), ("mid", 300.0), ("west", 0.0)]),
-    ];
-    insta::assert_snapshot!(rows.join("\n"));
-}
-
-#[test]
-fn demand_is_measured_and_told() {
-    let now = Instant::now();
-    let mut spread = site(now);
-    for half in 1..=20 {
-        for _ in 0..10 {
-            spread.earn(&service());
-        }
-        spread.advance(now + Duration::from_millis(500 * half));
-    }
-    let per_s = spread.demand_per_s()[&service()];
-    assert!((19.0..=21.0).contains(&per_s), "{per_s}");
-}
-
 #[test]
 fn shares_move_less_than_the_bound_in_two_seconds() {
     let home = RegionName::new("west").unwrap();
-    let even = BTreeMap::new();
-    let before = target(&home, &slots(&[("east", 90.0), ("west", 90.0)]), &even);
-    let after = target(&home, &slots(&[("east", 150.0), ("west", 10.0)]), &even);
+    let before = target(&home, &slots(&[("east", 90.0), ("west", 90.0)]));
+    let after = target(&home, &slots(&[("east", 150.0), ("west", 10.0)]));
     let mut shares = Shares::default();
     let begun_at = Instant::now();
     shares.advance(&before, begun_at);
