Send entry VMs routes without their source, bind stand-ins to a region where routes are

Each entry VM got every item with the text that the operator sent, from two control VMs, over 6.6 Mbit/s, and each question of the feed made a copy of all items before it left the old ones out. Now entry VMs get items without their text, only newer items are copied, and where any route is bound to regions only the same region stands in.

--- a/crates/catalog/src/state.rs
+++ b/crates/catalog/src/state.rs
@@ -84,6 +84,14 @@
         self.items.values().filter_map(|held| held.item.as_ref())
     }
 
+    /// Whether any route may be served in some regions only.
+    #[must_use]
+    pub fn binds_to_regions(&self) -> bool {
+        let bound =
+            |item: &Item| matches!(&item.body, Body::Route(route) if !route.homes.is_empty());
+        self.items().any(bound)
+    }
+
     /// Whether this start of a backend server, or a later one, is known to leave.
     #[must_use]
     pub fn leaves(&self, server: &ServerName, born_ms: u64) -> bool {
@@ -100,7 +108,8 @@
     /// Rows set after `index`.
     #[must_use]
     pub fn since(&self, index: u64) -> Vec<Row> {
-        let items = self.items.iter().map(|(key, held)| {
+        let items = self.items.iter().filter(|(_, held)| held.index > index);
+        let items = items.map(|(key, held)| {
             let fact = Fact::Item {
                 key: key.clone(),
                 version: held.version,
@@ -111,22 +120,39 @@
                 fact,
             }
         });
-        let evacuated = self.evacuated.iter().map(|(domain, (index, on))| Row {
+        let evacuated = self.evacuated.iter().filter(|(_, (at, _))| *at > index);
+        let evacuated = evacuated.map(|(domain, (index, on))| Row {
             index: *index,
             fact: Fact::Evacuated {
                 domain: domain.clone(),
                 on: *on,
             },
         });
-        let leaving = self.leaving.iter().map(|(server, (index, born_ms))| Row {
+        let leaving = self.leaving.iter().filter(|(_, (at, _))| *at > index);
+        let leaving = leaving.map(|(server, (index, born_ms))| Row {
             index: *index,
             fact: Fact::Leaving {
                 server: server.clone(),
                 born_ms: *born_ms,
             },
         });
-        let rows = items.chain(evacuated).chain(leaving);
-        rows.filter(|row| row.index > index).collect()
+        items.chain(evacuated).chain(leaving).collect()
+    }
+
+    /// The same for readers that give no items back: without the text in which
+    /// the operator sent them, which is most of their size.
+    #[must_use]
+    pub fn since_without_source(&self, index: u64) -> Vec<Row> {
+        let mut rows = self.since(index);
+        for row in &mut rows {
+            if let Fact::Item {
+                item: Some(item), ..
+            } = &mut row.fact
+            {
+                item.source = "".into();
+            }
+        }
+        rows
     }
 
     /// Takes in a row of another copy. Gives whether it changed something.
--- a/crates/catalog/tests/catalog.rs
+++ b/crates/catalog/tests/catalog.rs
@@ -200,3 +200,40 @@
     ];
     insta::assert_debug_snapshot!(rows);
 }
+
+/// Time that a link of 6 Mbit/s may be taken by a change of many routes: half
+/// of the least time in which a change is to be in force.
+const CHANGE_BYTES_MAX: usize = 750_000;
+
+#[test]
+fn entry_vms_get_many_routes_without_their_source() {
+    let mut log = Log::new();
+    let many = (0..1_400).map(|at| {
+        let mut route = route();
+        route.name = RouteName::new(&format!("r-{at:05}")).unwrap();
+        route.prefix = format!("/path-{at}/more-{at}/").into();
+        item(9, route)
+    });
+    let before = log.catalog.index();
+    log.set(many.collect()).unwrap();
+    let rows = log.catalog.since_without_source(before);
+    let size = postcard::to_stdvec(&rows).unwrap().len();
+    // Two control VMs tell of it at once.
+    assert!(2 * size < CHANGE_BYTES_MAX, "{size} bytes");
+    let mut entry = Catalog::default();
+    for row in rows {
+        entry.merge(row);
+    }
+    let domains = || std::iter::empty::<DomainName>();
+    let (theirs, ours) = (
+        Table::new(&entry, domains()),
+        Table::new(&log.catalog, domains()),
+    );
+    let host = HostName::new("site.example").unwrap();
+    let path = "/path-7/more-7/x";
+    assert_eq!(
+        theirs.route(host.as_str(), path).map(|r| &r.name),
+        ours.route(host.as_str(), path).map(|r| &r.name)
+    );
+    assert!(log.catalog.since(log.catalog.index()).is_empty());
+}
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -9,7 +9,7 @@
 use control::Group;
 use peers::{Identity, Links, accept};
 use quorum::{FileDisk, OpenMembership};
-use roster::{ControlRow, EntryRow, News, Roster, RosterSettings, Row, ServerRow};
+use roster::{ControlRow, EntryRow, News, Roster, RosterSettings, Row, ServerRow, StandIns};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -196,8 +196,14 @@
     #[must_use]
     pub fn entries_near(&self, place: &Place) -> Vec<SocketAddr> {
         let now = Instant::now();
+        let bound = self.catalog.look(Catalog::binds_to_regions);
+        let from = if bound {
+            StandIns::Region
+        } else {
+            StandIns::Anywhere
+        };
         let roster = self.roster.lock();
-        let near = roster.entries_near(place, rand::random(), now);
+        let near = roster.entries_near(place, from, rand::random(), now);
         near.into_iter().map(|row: &EntryRow| row.front).collect()
     }
 
@@ -282,7 +288,7 @@
         let (catalog, index) = match reader {
             Reader::Entry => self
                 .catalog
-                .look(|catalog| (catalog.since(catalog_index), catalog.index())),
+                .look(|catalog| (catalog.since_without_source(catalog_index), catalog.index())),
             Reader::Control => (Vec::new(), 0),
         };
         Give {
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -9,4 +9,4 @@
 pub mod table;
 
 pub use row::{ControlRow, EntryRow, Key, News, Row, ServerRow};
-pub use table::{Roster, RosterSettings};
+pub use table::{Roster, RosterSettings, StandIns};
--- a/crates/roster/src/table.rs
+++ b/crates/roster/src/table.rs
@@ -15,6 +15,15 @@
 /// it short answers wait behind large ones.
 const BUSY_PERCENT: usize = 70;
 
+/// Entry VMs that may stand in for lost ones.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StandIns {
+    /// Those of the same region, where requests may be bound to regions.
+    Region,
+    /// Any.
+    Anywhere,
+}
+
 /// Settings of a [`Roster`].
 #[derive(Clone, Copy, Debug)]
 pub struct RosterSettings {
@@ -246,17 +255,25 @@
     /// The entry VMs that a caller at `place` should use: those of its failure
     /// domain, else of its region, else all. Where some of the domain are lost
     /// and the others would be busy with the callers of all, as many others
-    /// stand in for them, drawn by `draw` so that each takes a part.
+    /// from `from` stand in for them, drawn by `draw` so that each takes a part.
     #[must_use]
-    pub fn entries_near(&self, place: &Place, draw: u64, now: Instant) -> Vec<&EntryRow> {
+    pub fn entries_near(
+        &self,
+        place: &Place,
+        from: StandIns,
+        draw: u64,
+        now: Instant,
+    ) -> Vec<&EntryRow> {
         let all: Vec<&EntryRow> = self.entries(now).map(|(row, _)| row).collect();
         let same_domain = |row: &&EntryRow| row.place == *place;
         let same_region = |row: &&EntryRow| row.place.region == place.region;
         let mut near: Vec<&EntryRow> = all.iter().copied().filter(same_domain).collect();
         let missing = self.missing(place, &near);
         if missing > 0 {
-            let mut others: Vec<&EntryRow> =
-                all.iter().copied().filter(|r| !same_domain(r)).collect();
+            let may = |row: &&EntryRow| {
+                !same_domain(row) && (from == StandIns::Anywhere || same_region(row))
+            };
+            let mut others: Vec<&EntryRow> = all.iter().copied().filter(may).collect();
             others
                 .sort_by_key(|row| hash::mix(hash::name(row.name.as_str()), draw, Purpose::Helper));
             near.extend(others.into_iter().take(missing));
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use roster::{EntryRow, Roster, RosterSettings, Row, ServerRow};
+use roster::{EntryRow, Roster, RosterSettings, Row, ServerRow, StandIns};
 use tokio::time::Instant;
 use world::{DomainName, MachineName, Place, RegionName, ServerName, ServiceName};
 
@@ -112,7 +112,7 @@
     roster.merge(entry("e2", place("north", "north-b"), 1, false), 0, now);
     roster.merge(entry("e3", place("south", "south-a"), 1, false), 0, now);
     let near = |r: &Roster, at: Instant| {
-        let rows = r.entries_near(&place("north", "north-a"), 0, at);
+        let rows = r.entries_near(&place("north", "north-a"), StandIns::Anywhere, 0, at);
         let mut names: Vec<String> = rows.iter().map(|row| row.name.to_string()).collect();
         names.sort();
         names.join(" ")
@@ -157,10 +157,11 @@
 
 #[test]
 fn busy_entry_vms_get_help_for_those_that_are_lost() {
-    let told = |roster: &Roster, draw: u64, at: Instant| -> Vec<String> {
-        let rows = roster.entries_near(&place("north", "north-a"), draw, at);
+    let told_from = |roster: &Roster, from: StandIns, draw: u64, at: Instant| -> Vec<String> {
+        let rows = roster.entries_near(&place("north", "north-a"), from, draw, at);
         rows.iter().map(|row| row.name.to_string()).collect()
     };
+    let told = |roster: &Roster, draw, at| told_from(roster, StandIns::Anywhere, draw, at);
     let (idle, later) = half_lost(20);
     assert_eq!(told(&idle, 1, later).len(), 2, "there is room");
     let (busy, later) = half_lost(50);
@@ -171,4 +172,8 @@
         helpers.extend(names.into_iter().filter(|n| !n.starts_with("north-a")));
     }
     assert_eq!(helpers.len(), 8, "each helps at times: {helpers:?}");
+    for draw in 0..50 {
+        let names = told_from(&busy, StandIns::Region, draw, later);
+        assert!(names.iter().all(|n| n.starts_with("north")), "{names:?}");
+    }
 }
