Let an opening go on when its caller gives up

Control VMs told 'reached=false' at 32.04 for machines that had been up since 31.57: a call's patience ended while the proofs of the opening were under way, the opening was dropped with it, and the next call began from the first packet. On a way on which openings take longer than callers wait no call ever came through; choked links of entry VMs are such ways. Now an opening is a task of its own, and one try serves all that wait for it. Test, red before ('no call came through'): an_opening_goes_on_when_its_caller_gives_up.

--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -12,7 +12,7 @@
 pub use hello::Identity;
 pub use link::{CallError, Link};
 pub use links::Links;
-pub use serve::Serve;
+pub use serve::{Serve, Silent};
 
 use std::time::Duration;
 
--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, ensure};
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
@@ -58,6 +58,8 @@
     identity: Identity,
     serve: Arc<S>,
     next_call: AtomicU64,
+    /// Openings that were begun.
+    tries: AtomicU64,
     /// Held while a connection is opened; how long the next may take to come about.
     opening: tokio::sync::Mutex<Duration>,
     open: Ranked<Open>,
@@ -72,6 +74,7 @@
             identity,
             serve,
             next_call: AtomicU64::new(1),
+            tries: AtomicU64::new(0),
             opening: tokio::sync::Mutex::new(CONNECT_MIN),
             open: Ranked::new(Rank::Links, Open::default()),
         }
@@ -137,14 +140,27 @@
         self.open.lock().sender.clone()
     }
 
+    /// The way into the open connection; opens one where there is none. An
+    /// opening goes on when whoever asked for it gives up: the next call finds
+    /// it done, or further on.
     async fn sender(self: &Arc<Self>) -> Result<mpsc::Sender<Envelope>> {
         if let Some(sender) = self.open_sender() {
             return Ok(sender);
         }
+        tokio::spawn(Arc::clone(self).open()).await?
+    }
+
+    async fn open(self: Arc<Self>) -> Result<mpsc::Sender<Envelope>> {
+        let tries = self.tries.load(Ordering::Relaxed);
         let mut patience = self.opening.lock().await;
         if let Some(sender) = self.open_sender() {
             return Ok(sender);
         }
+        // One try is enough for all that waited for it.
+        ensure!(
+            self.tries.fetch_add(1, Ordering::Relaxed) == tries,
+            "the opening failed"
+        );
         let connected = timeout(*patience, TcpStream::connect(self.addr)).await;
         *patience = match &connected {
             Ok(_) => CONNECT_MIN,
@@ -164,7 +180,7 @@
             open.peer = Some(peer);
             open.generation
         };
-        tokio::spawn(Arc::clone(self).carry(stream, queue, generation));
+        tokio::spawn(Arc::clone(&self).carry(stream, queue, generation));
         Ok(sender)
     }
 
--- a/crates/peers/src/serve.rs
+++ b/crates/peers/src/serve.rs
@@ -21,3 +21,19 @@
     /// Called with the version on every message that arrives.
     fn heard_version(&self, from: &MachineName, version: u64);
 }
+
+/// Answers nobody, for a process that only asks.
+#[derive(Clone, Copy, Debug)]
+pub struct Silent;
+
+impl Serve for Silent {
+    async fn serve(self: &Arc<Self>, _from: &MachineName, _body: Body) -> Option<Body> {
+        None
+    }
+
+    fn config_version(&self) -> u64 {
+        0
+    }
+
+    fn heard_version(&self, _from: &MachineName, _version: u64) {}
+}
--- a/crates/peers/tests/link.rs
+++ b/crates/peers/tests/link.rs
@@ -1,9 +1,11 @@
 //! Links over real sockets: calls, proofs, a peer that comes back.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use peers::{CallError, Identity, Link, Serve, accept};
+use tokio::io::copy_bidirectional;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{sleep, timeout};
 use wire::Body;
@@ -131,3 +133,39 @@
     let both = async { tokio::join!(calls, machine) };
     assert!(timeout(ms(900), both).await.is_ok());
 }
+
+/// Passes connections on to `target` after a while; counts them.
+async fn slow_way(target: SocketAddr, after_ms: u64, count: Arc<AtomicU64>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let addr = listener.local_addr().expect("addr");
+    tokio::spawn(async move {
+        loop {
+            let (mut near, _) = listener.accept().await.expect("accept");
+            count.fetch_add(1, Ordering::SeqCst);
+            tokio::spawn(async move {
+                sleep(ms(after_ms)).await;
+                let mut far = TcpStream::connect(target).await.expect("connect");
+                // It ends with the test.
+                let _ = copy_bidirectional(&mut near, &mut far).await;
+            });
+        }
+    });
+    addr
+}
+
+#[tokio::test]
+async fn an_opening_goes_on_when_its_caller_gives_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let target = listener.local_addr().expect("addr");
+    tokio::spawn(accept(listener, identity("server", "s"), echo()));
+    let opened = Arc::new(AtomicU64::new(0));
+    let addr = slow_way(target, 300, Arc::clone(&opened)).await;
+    let link = Arc::new(Link::new(addr, identity("client", "s"), echo()));
+    let mut failed = 0;
+    while link.call(ask(1), ms(100)).await.is_err() {
+        failed += 1;
+        assert!(failed < 50, "no call came through");
+    }
+    assert!(failed >= 2, "{failed} callers gave up");
+    assert_eq!(opened.load(Ordering::SeqCst), 1, "one opening served all");
+}
