Split the sends from the path, keep one process that only asks, log elections

The path of a request had grown to 420 lines: its sends are in tries.rs, what a caller hears in refusal.rs. The process that answers nobody stood twice and is one in peers. No behaviour changes; the tests are the same.

Left as they are: the bound with dyn in waxwingctl is the command line library's own and not on the request path; the wall clock in platform/src/control.rs stands in for the start of a leaving server that nobody heard of and that tells none, which the platform gives in Unix milliseconds; the loops over arguments in waxwingctl borrow the parser, which a shared function can't be handed.

--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use quorum::{Batch, Disk, Done, Envelope, Machine, Outcome, Replica, ReplicaStatus};
-use quorum::{Settings, Ticket};
+use quorum::{Settings, Standing, Ticket};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, MissedTickBehavior, interval};
@@ -32,6 +32,8 @@
     failed: Option<Error>,
     /// Leader that was logged last.
     leader: Option<MachineName>,
+    /// Standing that was logged last.
+    standing: Standing,
 }
 
 /// What a step of the replica leads to once the table is unlocked.
@@ -74,6 +76,7 @@
             waiting: HashMap::new(),
             failed: None,
             leader: None,
+            standing: Standing::Follower,
         };
         let group = Arc::new(Self {
             table: Ranked::new(Rank::Log, table),
@@ -268,6 +271,12 @@
 
 impl<M: Machine> Table<M> {
     fn after(&mut self) -> After<M> {
+        let standing = self.replica.standing();
+        if standing != self.standing {
+            self.standing = standing;
+            let (standing, term) = (standing.as_str(), self.replica.term());
+            log::info!(target: "group", standing, term; "standing in the election");
+        }
         if self.replica.leader() != self.leader.as_ref() {
             self.leader = self.replica.leader().cloned();
             let leader = self.leader.as_ref().map_or("none", MachineName::as_str);
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use hub::{Ask, Give, Reader};
-use peers::{Identity, Links, Serve};
+use peers::{Identity, Links, Silent};
 use rand::seq::IndexedRandom;
 use roster::{News, Row};
 use tokio::task::JoinSet;
@@ -15,7 +15,7 @@
 use wire::Body;
 use wire::body::Feed;
 use world::unit::as_ms;
-use world::{MachineName, Rank, Ranked, RegionName, Result};
+use world::{Rank, Ranked, RegionName, Result};
 
 use crate::dialect::Dialect;
 use crate::pause;
@@ -42,21 +42,6 @@
 /// Time between two looks at tables and clocks.
 const TEND_EVERY: Duration = Duration::from_millis(500);
 
-/// Serves nobody: an entry VM only asks.
-struct Silent;
-
-impl Serve for Silent {
-    async fn serve(self: &Arc<Self>, _from: &MachineName, _body: Body) -> Option<Body> {
-        None
-    }
-
-    fn config_version(&self) -> u64 {
-        0
-    }
-
-    fn heard_version(&self, _from: &MachineName, _version: u64) {}
-}
-
 /// A control VM that may be followed.
 #[derive(Clone, Debug)]
 struct Control {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -17,8 +17,10 @@
 pub mod path;
 pub mod pause;
 pub mod pool;
+mod refusal;
 pub mod state;
 pub mod stats;
+mod tries;
 
 pub use body::AnswerBody;
 pub use dialect::{Call, Dialect, Hop, Reply};
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -33,7 +33,7 @@
 use leader::Leader;
 use output::Output;
 pub use output::{Batch, Done, Outcome, Ticket};
-pub use status::{MemberStatus, ReplicaStatus};
+pub use status::{MemberStatus, ReplicaStatus, Standing};
 use waiters::Waiters;
 
 /// Most entries in one message.
--- a/crates/quorum/src/replica/status.rs
+++ b/crates/quorum/src/replica/status.rs
@@ -28,6 +28,32 @@
     pub repaired: bool,
 }
 
+/// How a replica stands in its term.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// It follows, or waits for a leader.
+    Follower,
+    /// It asks whether it would be elected.
+    PreCandidate,
+    /// It stands for election.
+    Candidate,
+    /// It leads.
+    Leader,
+}
+
+impl Standing {
+    /// The standing as it is logged.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Follower => "follower",
+            Self::PreCandidate => "pre-candidate",
+            Self::Candidate => "candidate",
+            Self::Leader => "leader",
+        }
+    }
+}
+
 /// A group as one of its replicas sees it.
 #[derive(Clone, Debug, Serialize)]
 pub struct ReplicaStatus {
@@ -56,6 +82,17 @@
 }
 
 impl<M: Machine> Replica<M> {
+    /// How this replica stands in its term.
+    #[must_use]
+    pub fn standing(&self) -> Standing {
+        match self.part {
+            Part::Follower => Standing::Follower,
+            Part::PreCandidate(_) => Standing::PreCandidate,
+            Part::Candidate(_) => Standing::Candidate,
+            Part::Leader(_) => Standing::Leader,
+        }
+    }
+
     /// The group as this replica sees it.
     #[must_use]
     pub fn status(&self, now: Instant) -> ReplicaStatus {
--- a/crates/rig/examples/ledger.rs
+++ b/crates/rig/examples/ledger.rs
@@ -13,33 +13,18 @@
 use futures_util::future::join_all;
 use hdrhistogram::Histogram;
 use once::{AttemptId, OperationId, OperationKey, Reply, Request, RequestDigest};
-use peers::{Identity, Links, Serve};
+use peers::{Identity, Links, Silent};
 use rig::server::Behaviour;
 use rig::site::{Call, Fleet, Plan, Site, service};
 use wire::Body;
 use wire::body::LedgerAsk;
-use world::{Class, MachineName, Secret};
+use world::{Class, Secret};
 
 const ROUNDS: u64 = 1_000;
 const TOGETHER: u64 = 16;
 const RECORD_BYTES: usize = 400;
 const PATIENCE: Duration = Duration::from_secs(2);
 
-/// A process that answers nothing.
-struct Silent;
-
-impl Serve for Silent {
-    async fn serve(self: &Arc<Self>, _from: &MachineName, _body: Body) -> Option<Body> {
-        None
-    }
-
-    fn config_version(&self) -> u64 {
-        0
-    }
-
-    fn heard_version(&self, _from: &MachineName, _version: u64) {}
-}
-
 struct Row {
     name: &'static str,
     took_us: Histogram<u64>,
