Log which requests are equal, and among how many entry VMs limits are divided

The log named the request's id, which each retry of a client has anew, so it could not tell one request that comes again from many; nor did it tell among how many entry VMs a retry budget was divided when it was spent.

Failed attempts now carry the fingerprint (method, host, path, query, body), and a change of the number of known entry VMs is logged. No decision changes.

--- a/crates/affinity/src/affinity_balancer.rs
+++ b/crates/affinity/src/affinity_balancer.rs
@@ -182,6 +182,13 @@
 
     /// Updates the list of known entry VMs and divides the retry budgets among them.
     fn refresh_entries(&mut self) {
+        let (before, known) = (self.entry_hashes.len(), self.entries.len());
+        if before != known {
+            log::info!(
+                target: "belief", before, known;
+                "limits divided among another number of entry VMs"
+            );
+        }
         let names = self.entries.keys();
         self.entry_hashes = names.map(|name| hash::name(name.as_str())).collect();
         self.divide_budgets();
--- a/crates/balancer/src/work.rs
+++ b/crates/balancer/src/work.rs
@@ -1,5 +1,6 @@
 //! Requests to be balanced, tickets for their slots, and their outcomes.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -25,6 +26,13 @@
     }
 }
 
+/// Writes 16 hexadecimal digits, as they appear in logs.
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// A request that needs a slot of a backend server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Work {
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use affinity::{AttemptEnd, Choice};
+use balancer::Fingerprint;
 use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -45,6 +46,8 @@
     pub headers: HeaderMap,
     /// Complete body of the client's request.
     pub body: Bytes,
+    /// Identifies equal requests to a backend server, whichever client sends them.
+    pub fingerprint: Fingerprint,
     /// Whether the request is idempotent, so that it may run twice.
     pub idempotent: bool,
     /// Link capacity reserved for the response, if the route is a download.
@@ -91,13 +94,13 @@
         }
     }
 
-    /// Releases the slot and records how the attempt for `call` ended.
-    pub fn end(mut self, end: AttemptEnd, call: &RequestHead) {
+    /// Releases the slot and records how the attempt for `outgoing` ended.
+    pub fn end(mut self, end: AttemptEnd, outgoing: &OutgoingRequest) {
         if end != AttemptEnd::Answered {
             let took = self.started_at.elapsed();
             self.state
                 .request_log
-                .attempt_failed(call, &self.choice, end, took);
+                .attempt_failed(outgoing, &self.choice, end, took);
         }
         self.release(end);
     }
--- a/crates/forward/src/handler.rs
+++ b/crates/forward/src/handler.rs
@@ -3,10 +3,12 @@
 
 use std::sync::Arc;
 
+use balancer::Fingerprint;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::{Request, Response, Uri};
+use hyper::http::uri::PathAndQuery;
+use hyper::{Method, Request, Response, Uri};
 use tokio::time::{Instant, sleep_until, timeout_at};
 use world::unit::{as_ms, ms};
 use world::{Error, ErrorKind, RequestKind, Route};
@@ -61,8 +63,10 @@
         Err(refusal) => return refuse_routed(&state, &refusal, &call, route, arrived_at),
     };
     let target = head.uri.path_and_query().cloned().map(Uri::from);
+    let fingerprint = fingerprint(&call, &head.method, &head.uri, &body);
     let outgoing = OutgoingRequest {
         call,
+        fingerprint,
         method: head.method,
         target: target.unwrap_or_default(),
         headers: answer::forwarded_headers(head.headers),
@@ -81,6 +85,18 @@
     }
 }
 
+/// Fingerprint of a request: equal for requests that a backend server can't tell
+/// apart by method, host, path, query and body.
+fn fingerprint(call: &RequestHead, method: &Method, uri: &Uri, body: &[u8]) -> Fingerprint {
+    let target = uri.path_and_query().map_or("/", PathAndQuery::as_str);
+    Fingerprint::of(&[
+        method.as_str().as_bytes(),
+        call.host.as_bytes(),
+        target.as_bytes(),
+        body,
+    ])
+}
+
 /// Refuses a request for which no route is known yet.
 fn refuse<D: Dialect>(
     state: &State<D>,
--- a/crates/forward/src/request_log.rs
+++ b/crates/forward/src/request_log.rs
@@ -12,6 +12,7 @@
 use world::unit::as_ms;
 use world::{Error, LockRank, RankedMutex, Route};
 
+use crate::attempt::OutgoingRequest;
 use crate::dialect::RequestHead;
 use crate::handler::since_ms;
 
@@ -127,7 +128,7 @@
     /// Logs an attempt that did not succeed.
     pub fn attempt_failed(
         &self,
-        call: &RequestHead,
+        outgoing: &OutgoingRequest,
         choice: &Choice,
         end: AttemptEnd,
         took: Duration,
@@ -137,7 +138,8 @@
         }
         log::info!(
             target: "send",
-            request:% = call.id,
+            request:% = outgoing.call.id,
+            fingerprint:% = outgoing.fingerprint,
             service:% = choice.service,
             server:% = choice.server,
             domain:% = choice.place.domain,
--- a/crates/forward/src/retry.rs
+++ b/crates/forward/src/retry.rs
@@ -103,7 +103,7 @@
             AttemptResult::NotRun(end) | AttemptResult::MayHaveRun(end) => *end,
         };
         let server = attempt.choice.server.clone();
-        attempt.end(end, &self.outgoing.call);
+        attempt.end(end, self.outgoing);
         if let AttemptResult::MayHaveRun(end) = result {
             self.uncertain_end = Some(*end);
         }
