--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -63,6 +63,8 @@
     rate_bytes_per_s: u64,
     /// Connections that were opened at a lower generation forward nothing any more.
     generation: u64,
+    /// Whether the port is closed for good.
+    closed: bool,
 }
 
 /// A running relay; dropping it closes its port and its connections.
@@ -131,12 +133,23 @@
     pub fn silence_connections(&self) {
         self.settings.send_modify(|s| s.generation += 1);
     }
+
+    /// Resets open connections and closes the port for good, as when the process behind
+    /// it ends.
+    pub fn close(&self) {
+        self.settings.send_modify(|s| {
+            s.mode = Mode::Reset;
+            s.closed = true;
+        });
+    }
 }
 
 async fn accept(listener: TcpListener, settings: watch::Receiver<Settings>) {
     let mut connections = JoinSet::new();
+    let mut closes = settings.clone();
     loop {
         tokio::select! {
+            _ = wait_for(&mut closes, |s| s.closed) => break,
             accepted = listener.accept() => {
                 if let Ok((stream, _)) = accepted {
                     connections.spawn(connect(stream, settings.clone()));
@@ -145,6 +158,8 @@
             Some(_) = connections.join_next() => {}
         }
     }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
 }
 
 /// Forwards a client's connection to the target until both directions are closed or
