Stop sending requests that crash backend servers

Cause: no entry VM of a routed site remembered under which request a server ended, and none told the others. Each arrival reached as many servers as its route has attempts.

Change: when a connection breaks on which a request ran, the entry VM connects anew; a server that refuses has crashed, and the requests that broke there are marked. Marks travel as findings with the feed to all entry VMs, within 20 ms to the control VMs followed, and are stored on their disks. A marked request is not repeated after a broken connection, a confirmed one is refused at arrival (new kind 'quarantined': 503, not run, with the time to come back). An answer clears a mark.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -3,11 +3,13 @@
 //!
 //! A row carries its process's start time and a sequence number that grows with
 //! each announcement, so a row that arrives late, twice or over another path
-//! changes nothing. Nothing is stored on disk: after a restart the registry fills
+//! changes nothing. Findings of entry VMs spread in the same way. Nothing is stored on disk: after a restart the registry fills
 //! up from the next announcements.
 
+pub mod finding;
 pub mod registry;
 pub mod row;
 
+pub use finding::{Finding, FindingKey};
 pub use registry::{Registry, RegistrySettings, SubstituteScope};
 pub use row::{ControlRow, EntryRow, Key, Row, ServerRow, Update};
--- a/crates/discovery/src/registry.rs
+++ b/crates/discovery/src/registry.rs
@@ -10,12 +10,17 @@
 use world::unit::{as_ms, ms};
 use world::{Place, ServerName};
 
+use crate::finding::Finding;
 use crate::row::{ControlRow, EntryRow, Key, Row, ServerRow, Update};
 
 /// Used share of its network link from which on an entry VM counts as busy,
 /// percent: above it small responses queue behind large ones.
 const BUSY_THRESHOLD_PERCENT: usize = 70;
 
+/// Most findings that are kept: some crashes of servers with a hundred requests each,
+/// at about 30 bytes a finding.
+const FINDINGS_MAX: usize = 4_096;
+
 /// Which entry VMs may substitute for lost ones.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SubstituteScope {
@@ -124,7 +129,7 @@
             return true;
         }
         let other_start = row.order().0 != record.row.order().0;
-        let machine = !matches!(row, Row::Server(_));
+        let machine = matches!(row, Row::Entry(_) | Row::Control(_));
         machine && other_start && self.is_overdue(record, now)
     }
 
@@ -162,11 +167,12 @@
 
     /// Returns whether the last announcement is older than the timeout.
     fn is_overdue(&self, record: &Record, now: Instant) -> bool {
-        let bound = match record.row {
-            Row::Server(_) => self.settings.server_timeout_ms,
-            Row::Entry(_) | Row::Control(_) => self.settings.machine_timeout_ms,
+        let bound = match &record.row {
+            Row::Server(_) => ms(self.settings.server_timeout_ms),
+            Row::Entry(_) | Row::Control(_) => ms(self.settings.machine_timeout_ms),
+            Row::Finding(finding) => finding.lifetime(),
         };
-        now.saturating_duration_since(record.announced_at) > ms(bound)
+        now.saturating_duration_since(record.announced_at) > bound
     }
 
     /// Marks rows without recent announcements as lost and removes old rows.
@@ -175,7 +181,8 @@
         let overdue: Vec<Key> = self
             .rows
             .iter()
-            .filter(|(_, record)| !record.lost && self.is_overdue(record, now))
+            .filter(|(_, record)| !record.row.is_finding() && !record.lost)
+            .filter(|(_, record)| self.is_overdue(record, now))
             .map(|(key, _)| key.clone())
             .collect();
         for key in &overdue {
@@ -188,15 +195,39 @@
                 self.last_change = self.clock;
             }
         }
-        let forget = ms(self.settings.forget_ms);
-        let keep = |record: &Record| now.saturating_duration_since(record.announced_at) < forget;
-        self.rows.retain(|_, record| keep(record));
+        self.forget(now);
         let rows = &self.rows;
         self.servers_at
             .retain(|_, name| rows.contains_key(&Key::Server(name.clone())));
         !overdue.is_empty()
     }
 
+    /// Removes rows that were not announced for long, and findings that no longer count;
+    /// beyond [`FINDINGS_MAX`] findings also the oldest ones.
+    fn forget(&mut self, now: Instant) {
+        let forget = ms(self.settings.forget_ms);
+        let mut clocks = Vec::new();
+        self.rows.retain(|_, record| {
+            let age = now.saturating_duration_since(record.announced_at);
+            let Row::Finding(finding) = &record.row else {
+                return age < forget;
+            };
+            let counts = age < finding.lifetime();
+            if counts {
+                clocks.push(record.announced_clock);
+            }
+            counts
+        });
+        if let Some(excess) = clocks.len().checked_sub(FINDINGS_MAX).filter(|n| *n > 0) {
+            clocks.sort_unstable();
+            let oldest_kept = clocks[excess];
+            self.rows.retain(|_, record| {
+                !record.row.is_finding() || record.announced_clock >= oldest_kept
+            });
+            log::warn!(target: "roster", excess; "too many findings; the oldest ones removed");
+        }
+    }
+
     /// Returns the logical clock, a cursor for [`Registry::announced_since`] and
     /// [`Registry::changed_since`].
     #[must_use]
@@ -238,6 +269,19 @@
         rows.collect()
     }
 
+    /// Returns the findings that still count, to be stored for a restart.
+    #[must_use]
+    pub fn findings(&self, now: Instant) -> Vec<Finding> {
+        let findings = self.rows.values().filter_map(|record| match &record.row {
+            Row::Finding(finding) => {
+                let age = now.saturating_duration_since(record.announced_at);
+                finding.aged(as_ms(age))
+            }
+            _ => None,
+        });
+        findings.collect()
+    }
+
     /// Returns the row of a backend server, unless it is lost.
     #[must_use]
     pub fn server(&self, name: &ServerName) -> Option<&ServerRow> {
--- a/crates/discovery/src/row.rs
+++ b/crates/discovery/src/row.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::finding::{Finding, FindingKey};
 use serde::{Deserialize, Serialize};
 use world::{MachineName, Place, ServerName, ServiceName};
 
@@ -71,6 +72,8 @@
     Entry(EntryRow),
     /// A control VM.
     Control(ControlRow),
+    /// A finding of an entry VM.
+    Finding(Finding),
 }
 
 /// Identifies a row.
@@ -82,6 +85,8 @@
     Entry(MachineName),
     /// A control VM.
     Control(MachineName),
+    /// A finding of an entry VM.
+    Finding(FindingKey),
 }
 
 /// A row as sent to another process.
@@ -103,6 +108,7 @@
             Self::Server(row) => Key::Server(row.name.clone()),
             Self::Entry(row) => Key::Entry(row.name.clone()),
             Self::Control(row) => Key::Control(row.name.clone()),
+            Self::Finding(finding) => Key::Finding(finding.key()),
         }
     }
 
@@ -114,9 +120,16 @@
             Self::Server(row) => (row.born_ms, row.sequence),
             Self::Entry(row) => (row.born_ms, row.sequence),
             Self::Control(row) => (row.born_ms, row.sequence),
+            Self::Finding(finding) => finding.order(),
         }
     }
 
+    /// Returns whether the row is a finding.
+    #[must_use]
+    pub fn is_finding(&self) -> bool {
+        matches!(self, Self::Finding(_))
+    }
+
     /// Returns whether the change from `old` to this row matters to entry VMs. Most
     /// announcements change only the sequence number.
     pub(crate) fn is_relevant_change_from(&self, old: &Self) -> bool {
--- a/crates/discovery/tests/registry.rs
+++ b/crates/discovery/tests/registry.rs
@@ -3,7 +3,8 @@
 
 use std::time::Duration;
 
-use discovery::{EntryRow, Registry, RegistrySettings, Row, ServerRow, SubstituteScope};
+use balancer::{Fingerprint, Mark};
+use discovery::{EntryRow, Finding, Registry, RegistrySettings, Row, ServerRow, SubstituteScope};
 use tokio::time::Instant;
 use world::{DomainName, MachineName, Place, RegionName, ServerName, ServiceName};
 
@@ -194,3 +195,46 @@
         assert!(names.iter().all(|n| n.starts_with("north")), "{names:?}");
     }
 }
+
+fn crash(request: u64, convicted: bool, left_ms: u64) -> Row {
+    Row::Finding(Finding::Crash(Mark {
+        fingerprint: Fingerprint(request),
+        convicted,
+        crash_id: 1,
+        sole: false,
+        left_ms,
+    }))
+}
+
+#[test]
+fn a_finding_is_replaced_by_a_graver_one_and_ends_with_its_time() {
+    let (mut registry, now) = (Registry::default(), Instant::now());
+    let at = |ms| now + Duration::from_millis(ms);
+    let merged = [
+        registry.merge(crash(1, false, 1_000), 0, now),
+        registry.merge(crash(1, false, 1_000), 0, now),
+        registry.merge(crash(1, true, 3_000), 500, now),
+        registry.merge(crash(1, false, 9_000), 0, now),
+    ];
+    assert_eq!(merged, [true, false, true, false]);
+    let left = |registry: &Registry, ms| registry.findings(at(ms)).len();
+    registry.sweep(at(2_400));
+    assert_eq!(left(&registry, 2_400), 1);
+    registry.sweep(at(2_600));
+    assert_eq!(left(&registry, 2_600), 0);
+}
+
+/// The memory of a control VM is bounded, whatever the entry VMs report.
+#[test]
+fn the_oldest_findings_go_first_when_there_are_too_many() {
+    let (mut registry, now) = (Registry::default(), Instant::now());
+    for request in 0..5_000 {
+        registry.merge(crash(request, false, 60_000), 0, now);
+    }
+    registry.sweep(now);
+    let findings = registry.findings(now);
+    let oldest = findings.iter().map(|finding| match finding {
+        Finding::Crash(mark) => mark.fingerprint.0,
+    });
+    assert_eq!((findings.len(), oldest.min()), (4_096, Some(904)));
+}
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -132,7 +132,9 @@
 ) -> AttemptResult {
     let mut connection = match timeout_at(deadline, connect(state, choice, outgoing)).await {
         Ok(Ok(connection)) => connection,
-        Ok(Err(Failure::ConnectFailed)) => return AttemptResult::NotRun(AttemptEnd::Refused),
+        Ok(Err(Failure::Refused | Failure::ConnectFailed)) => {
+            return AttemptResult::NotRun(AttemptEnd::Refused);
+        }
         Ok(Err(_)) | Err(_) => return AttemptResult::NotRun(AttemptEnd::Unreached),
     };
     // The server may have started to leave while the connection was opened.
@@ -145,7 +147,10 @@
     let response = match timeout_at(deadline, connection.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(Failure::Unsent)) => return AttemptResult::NotRun(AttemptEnd::Dropped),
-        Ok(Err(_)) => return AttemptResult::MayHaveRun(AttemptEnd::Broken),
+        Ok(Err(_)) => {
+            state.crashes.record_broken(choice, outgoing.fingerprint);
+            return AttemptResult::MayHaveRun(AttemptEnd::Broken);
+        }
         Err(_) => return AttemptResult::MayHaveRun(AttemptEnd::Silent),
     };
     let (head, body) = response.into_parts();
@@ -166,7 +171,10 @@
     let received =
         match timeout_at(deadline, read_body(state, outgoing, &mut connection, body)).await {
             Ok(Some(received)) => received,
-            Ok(None) => return incomplete_response(&reply, AttemptEnd::Broken),
+            Ok(None) => {
+                state.crashes.record_broken(choice, outgoing.fingerprint);
+                return incomplete_response(&reply, AttemptEnd::Broken);
+            }
             Err(_) => return incomplete_response(&reply, AttemptEnd::Silent),
         };
     let body = match received {
@@ -214,8 +222,7 @@
     if let Some(connection) = state.pool.take(choice, outgoing.idempotent).await {
         return Ok(connection);
     }
-    let rtt_ms = state.balancer.lock().rtt_ms(&choice.place.region);
-    let connect_timeout = Duration::from_secs_f64(rtt_ms * 2.0 / 1_000.0) + CONNECT_MARGIN;
+    let connect_timeout = connect_timeout(state, choice);
     let started_at = Instant::now();
     let connection = Connection::open(choice.addr, connect_timeout).await?;
     let took_ms = started_at.elapsed().as_secs_f64() * 1_000.0;
@@ -224,6 +231,12 @@
     Ok(connection)
 }
 
+/// Timeout of a new connection to the server.
+pub fn connect_timeout<D: Dialect>(state: &State<D>, choice: &Choice) -> Duration {
+    let rtt_ms = state.balancer.lock().rtt_ms(&choice.place.region);
+    Duration::from_secs_f64(rtt_ms * 2.0 / 1_000.0) + CONNECT_MARGIN
+}
+
 /// Builds the request for this attempt; `None` when too little time is left.
 fn request<D: Dialect>(
     state: &State<D>,
--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -5,6 +5,7 @@
 //! arrive while it is idle are detected before the next use.
 
 use std::future::{Future, poll_fn};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::task::{Context, Poll};
@@ -27,7 +28,9 @@
 /// Why a request got no response over a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Failure {
-    /// The connection could not be opened, for a reason other than the timeout.
+    /// The server's machine refused the connection: no process listens there.
+    Refused,
+    /// The connection could not be opened, for another reason than these.
     ConnectFailed,
     /// The connection was not established in time.
     Unreached,
@@ -53,13 +56,16 @@
     /// Opens a connection within `connect_timeout`.
     ///
     /// # Errors
-    /// [`Failure::ConnectFailed`] or [`Failure::Unreached`].
+    /// [`Failure::Refused`], [`Failure::ConnectFailed`] or [`Failure::Unreached`].
     pub async fn open(addr: SocketAddr, connect_timeout: Duration) -> Result<Self, Failure> {
         let stream = match timeout(connect_timeout, TcpStream::connect(addr)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => {
                 log::debug!(target: "forward", addr:% = addr, error:% = error; "could not connect");
-                return Err(Failure::ConnectFailed);
+                return Err(match error.kind() {
+                    ErrorKind::ConnectionRefused => Failure::Refused,
+                    _ => Failure::ConnectFailed,
+                });
             }
             Err(_) => return Err(Failure::Unreached),
         };
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use discovery::{Row, Update};
+use discovery::{Finding, Row, Update};
 use peers::{ClientOnly, Identity, Links};
 use rand::seq::IndexedRandom;
 use routed_control::{FeedRequest, FeedResponse, Reader};
@@ -34,6 +34,9 @@
 /// replicas learn of a commit with the leader's next heartbeat, every 250 ms.
 const LAG_MAX: Duration = Duration::from_secs(1);
 
+/// Time for which new findings are collected before they are reported.
+const REPORT_DELAY: Duration = Duration::from_millis(20);
+
 /// Pause before following another control VM after a failed feed request.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -74,6 +77,8 @@
     incarnation: u64,
     /// Position in its updates of the discovery registry.
     registry: u64,
+    /// Position up to which findings were reported to it.
+    reported: u64,
 }
 
 impl<D: Dialect> ControlFollower<D> {
@@ -167,9 +172,23 @@
         let mut cursor = known.unwrap_or_default();
         let mut logged = false;
         let mut caught_up_at = Instant::now();
+        let mut may_interrupt = true;
         loop {
             let requested_at = Instant::now();
-            let Some(response) = self.request_feed(addr, cursor).await else {
+            let findings = &self.state.findings;
+            let (unreported, reported) = findings.unreported(cursor.reported, requested_at);
+            let response = tokio::select! {
+                response = self.request_feed(addr, cursor, unreported) => response,
+                // New findings are reported at once. The next request has to end, so that
+                // a stream of findings can't keep the feed from being read.
+                () = findings.wait_newer(reported), if may_interrupt => {
+                    may_interrupt = false;
+                    sleep(REPORT_DELAY).await;
+                    continue;
+                }
+            };
+            may_interrupt = true;
+            let Some(response) = response else {
                 return "no answer";
             };
             let index = self.state.catalog.lock().index();
@@ -189,6 +208,7 @@
             cursor = Cursor {
                 incarnation: response.boot,
                 registry: response.cursor,
+                reported,
             };
             self.following.lock().cursors.insert(ip, cursor);
             self.apply_feed(response);
@@ -201,6 +221,8 @@
     /// Applies catalog rows and registry updates of a feed response.
     fn apply_feed(&self, response: FeedResponse) {
         let now = Instant::now();
+        // Before the catalog, with which a new entry VM becomes ready.
+        self.apply_findings(&response.findings, response.whole);
         if !response.catalog.is_empty() {
             self.state.merge_catalog(response.catalog);
         }
@@ -229,7 +251,7 @@
                 Row::Server(row) => balancer.apply_announcement(&row, age_ms, now),
                 Row::Entry(row) => balancer.update_entry_vm(&row.name, lost, now),
                 Row::Control(row) if !lost => controls.push(row),
-                Row::Control(_) => {}
+                Row::Control(_) | Row::Finding(_) => {}
             }
         }
         drop(balancer);
@@ -246,15 +268,57 @@
         }
     }
 
+    /// Applies findings of other entry VMs; `whole` says that the control VM has no
+    /// others.
+    fn apply_findings(&self, updates: &[Update], whole: bool) {
+        let now = Instant::now();
+        let State {
+            findings, crashes, ..
+        } = &*self.state;
+        for update in updates {
+            let Row::Finding(finding) = &update.row else {
+                continue;
+            };
+            let Some(finding) = findings.receive(finding, update.age_ms, now) else {
+                continue;
+            };
+            match &finding {
+                Finding::Crash(mark) => {
+                    let confirmed = crashes.merge(mark);
+                    // Two crashes known to different entry VMs: one that saw a crash
+                    // tells the others.
+                    if let Some(confirmed) = confirmed
+                        && findings.saw_crash_of(mark.fingerprint)
+                    {
+                        findings.report(confirmed, now);
+                    }
+                }
+            }
+        }
+        if whole {
+            let had = updates.iter().filter_map(|update| match &update.row {
+                Row::Finding(finding) => Some(finding.key()),
+                _ => None,
+            });
+            findings.restate(&had.collect());
+        }
+    }
+
     /// Requests the changes since `cursor`; `None` on timeout or an invalid
     /// response.
-    async fn request_feed(&self, addr: SocketAddr, cursor: Cursor) -> Option<FeedResponse> {
+    async fn request_feed(
+        &self,
+        addr: SocketAddr,
+        cursor: Cursor,
+        findings: Vec<Update>,
+    ) -> Option<FeedResponse> {
         let request = FeedRequest {
             reader: Reader::Entry,
             me: self.state.announcement(),
             boot: cursor.incarnation,
             cursor: cursor.registry,
             catalog_index: self.state.catalog.lock().index(),
+            findings,
         };
         let payload = routed_control::feed::encode(&request)
             .inspect_err(
@@ -279,7 +343,8 @@
             tokio::spawn(async move {
                 let addr = SocketAddr::new(ip, follow.state.settings.link_port);
                 let known = follow.following.lock().cursors.get(&ip).copied();
-                let response = follow.request_feed(addr, known.unwrap_or_default()).await;
+                let cursor = known.unwrap_or_default();
+                let response = follow.request_feed(addr, cursor, Vec::new()).await;
                 log::info!(
                     target: "forward", control:% = ip, told = response.is_some();
                     "notified a control VM that this entry VM is leaving"
@@ -297,6 +362,7 @@
         sleep(MAINTENANCE_INTERVAL).await;
         state.balancer.lock().advance(Instant::now());
         state.pool.expire();
+        state.findings.expire(Instant::now());
         state.measure_link();
         let paused = clock.advance().saturating_sub(MAINTENANCE_INTERVAL);
         if paused > SUSPENSION_MAX {
--- a/crates/forward/src/handler.rs
+++ b/crates/forward/src/handler.rs
@@ -58,12 +58,15 @@
         Ok(body) => body,
         Err(refusal) => return refuse(&state, &refusal, Some(&call), arrived_at),
     };
+    let fingerprint = fingerprint(&call, &head.method, &head.uri, &body);
+    if let Some(refusal) = state.crashes.refusal(fingerprint) {
+        return refuse_routed(&state, &refusal, &call, route, arrived_at);
+    }
     let reserved = match reserve_link(&state, route, &call, deadline).await {
         Ok(reserved) => reserved,
         Err(refusal) => return refuse_routed(&state, &refusal, &call, route, arrived_at),
     };
     let target = head.uri.path_and_query().cloned().map(Uri::from);
-    let fingerprint = fingerprint(&call, &head.method, &head.uri, &body);
     let outgoing = OutgoingRequest {
         call,
         fingerprint,
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -19,6 +19,7 @@
     latency: HistogramVec,
     attempts: IntCounterVec,
     retries: IntCounterVec,
+    crashes: IntCounterVec,
     link_busy: IntGauge,
 }
 
@@ -39,6 +40,11 @@
             latency: HistogramVec::new(latency, &["kind"])?,
             attempts: counter("sends_total", "Sends to servers", &["service", "end"])?,
             retries: counter("second_sends_total", "Second sends", &["after"])?,
+            crashes: counter(
+                "server_crashes_total",
+                "Servers that ended while they ran requests",
+                &["service"],
+            )?,
             link_busy: IntGauge::new("link_busy_percent", "Share of the link that is used")?,
         };
         metrics
@@ -53,6 +59,9 @@
         metrics
             .registry
             .register(Box::new(metrics.retries.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.crashes.clone()))?;
         metrics
             .registry
             .register(Box::new(metrics.link_busy.clone()))?;
@@ -72,6 +81,11 @@
         self.attempts.with_label_values(&labels).inc();
     }
 
+    pub(crate) fn record_crash(&self, choice: &Choice) {
+        let labels = [choice.service.as_str()];
+        self.crashes.with_label_values(&labels).inc();
+    }
+
     pub(crate) fn set_link_busy(&self, percent: u32) {
         self.link_busy.set(i64::from(percent));
     }
--- a/crates/forward/src/retry.rs
+++ b/crates/forward/src/retry.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use affinity::AttemptEnd;
+use balancer::Verdict;
 use steer::hash::{self, Purpose};
 use tokio::time::{Instant, timeout_at};
 use world::{Error, ErrorKind, RequestKind, Route, ServerName, ServiceName};
@@ -35,6 +36,8 @@
     unsent_count: usize,
     /// End of the last attempt after which the request may have run.
     uncertain_end: Option<AttemptEnd>,
+    /// Whether the request is suspected of crashing backend servers.
+    suspected: bool,
 }
 
 impl<'a, D: Dialect> RetryLoop<'a, D> {
@@ -54,6 +57,7 @@
             attempt_count: 0,
             unsent_count: 0,
             uncertain_end: None,
+            suspected: state.crashes.verdict(outgoing.fingerprint) == Verdict::Alone,
         }
     }
 
@@ -70,13 +74,15 @@
             let end = self.finish_attempt(attempt, &result);
             let server_response = match result {
                 AttemptResult::Answered(server_response) if end == AttemptEnd::Answered => {
+                    if self.suspected {
+                        self.state.crashes.clear(self.outgoing.fingerprint);
+                    }
                     return Ok(*server_response);
                 }
                 AttemptResult::Answered(server_response) => Some(server_response),
                 AttemptResult::NotRun(_) | AttemptResult::MayHaveRun(_) => None,
             };
-            let may_repeat = self.outgoing.idempotent || not_run(end);
-            if may_repeat && self.try_spend_attempt(end) {
+            if self.may_repeat(end) && self.try_spend_attempt(end) {
                 self.state.stats.record_retry(end);
                 continue;
             }
@@ -87,6 +93,18 @@
         }
     }
 
+    /// Whether another attempt can do no harm: the request may run again, and is not
+    /// about to crash another server.
+    fn may_repeat(&self, end: AttemptEnd) -> bool {
+        if not_run(end) {
+            return true;
+        }
+        let verdict = || self.state.crashes.verdict(self.outgoing.fingerprint);
+        let crashes = end == AttemptEnd::Broken
+            && (self.suspected || matches!(verdict(), Verdict::Refuse { .. }));
+        self.outgoing.idempotent && !crashes
+    }
+
     /// Releases the slot of an attempt and counts how it ended.
     fn finish_attempt(
         &mut self,
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -12,7 +12,9 @@
 use tokio::time::Instant;
 use world::{LockRank, RankedMutex, Route, Secret};
 
+use crate::crashes::Crashes;
 use crate::dialect::{Dialect, RequestHead};
+use crate::findings::Findings;
 use crate::large::MeanSize;
 use crate::metrics::Metrics;
 use crate::pace::Pacer;
@@ -60,6 +62,10 @@
     confirmed_at: RankedMutex<Option<Instant>>,
     /// Balancer over the backend servers.
     pub balancer: RankedMutex<AffinityBalancer>,
+    /// Requests that crash backend servers.
+    pub crashes: Crashes,
+    /// Findings of this entry VM and of others.
+    pub findings: Findings,
     /// Idle connections.
     pub pool: Pool,
     /// Pacing of bytes received over this machine's link.
@@ -94,6 +100,8 @@
                 AffinityBalancer::new(settings.balancer.clone(), Instant::now()),
             ),
             confirmed_at: RankedMutex::new(LockRank::Members, None),
+            crashes: Crashes::default(),
+            findings: Findings::default(),
             pool: Pool::default(),
             pace_in: Arc::new(Pacer::new(settings.link_bytes_per_s)),
             large_size: MeanSize::default(),
--- a/crates/routed_control/src/cache.rs
+++ b/crates/routed_control/src/cache.rs
@@ -1,7 +1,8 @@
-//! Cache file of the known backend servers, loaded after a restart.
+//! Cache file of the known backend servers and of the findings about them, loaded
+//! after a restart.
 //!
-//! It is used only until the servers announce themselves again, so an unreadable
-//! file is ignored. Each write is synced to disk, because the file is also needed
+//! The servers are used only until they announce themselves again, and the entry VMs
+//! that hold a finding report it again, so an unreadable file is ignored. Each write is synced to disk, because the file is also needed
 //! after a power loss on all machines.
 
 use std::fs::{self, File};
@@ -9,7 +10,7 @@
 use std::path::{Path, PathBuf};
 
 use anyhow::{Context, Result, ensure};
-use discovery::ServerRow;
+use discovery::{Finding, ServerRow};
 
 /// File name in the data directory.
 const FILE_NAME: &str = "servers.cache";
@@ -18,6 +19,15 @@
 /// milliseconds: until its next announcement reports its state.
 const UNCONFIRMED_COLD_MS: u64 = 1_500;
 
+/// Content of the cache file.
+#[derive(Clone, Debug, Default)]
+pub struct CachedRows {
+    /// Known backend servers.
+    pub servers: Vec<ServerRow>,
+    /// Findings that still count; empty in a file of an earlier version.
+    pub findings: Vec<Finding>,
+}
+
 /// The cache file in a data directory.
 #[derive(Clone, Debug)]
 pub struct Cache {
@@ -35,12 +45,13 @@
         }
     }
 
-    /// Replaces the file's content by `servers`, atomically.
+    /// Replaces the file's content by `rows`, atomically.
     ///
     /// # Errors
     /// When the file can't be written.
-    pub fn save(&self, servers: &[ServerRow]) -> Result<()> {
-        let rows = postcard::to_stdvec(servers)?;
+    pub fn save(&self, rows: &CachedRows) -> Result<()> {
+        let CachedRows { servers, findings } = rows;
+        let rows = postcard::to_stdvec(&(servers, findings))?;
         let mut bytes = crc32fast::hash(&rows).to_le_bytes().to_vec();
         bytes.extend_from_slice(&rows);
         let new = self.path.with_extension("new");
@@ -54,23 +65,28 @@
         Ok(())
     }
 
-    /// Returns the servers of the last save. Each counts as cold for at least
+    /// Returns the rows of the last save. Each server counts as cold for at least
     /// [`UNCONFIRMED_COLD_MS`] and has sequence number 0, so that any announcement of it is newer.
     ///
     /// # Errors
     /// When the file is missing, damaged or in another format.
-    pub fn load(&self) -> Result<Vec<ServerRow>> {
+    pub fn load(&self) -> Result<CachedRows> {
         let bytes = fs::read(&self.path)?;
         let (sum, rows) = bytes.split_at_checked(4).context("the file is too short")?;
         ensure!(
             sum == crc32fast::hash(rows).to_le_bytes(),
             "checksum mismatch"
         );
-        let mut servers: Vec<ServerRow> = postcard::from_bytes(rows)?;
+        let (mut servers, rest) = postcard::take_from_bytes::<Vec<ServerRow>>(rows)?;
+        let findings = if rest.is_empty() {
+            Vec::new()
+        } else {
+            postcard::from_bytes(rest)?
+        };
         for row in &mut servers {
             row.cold_ms = row.cold_ms.max(UNCONFIRMED_COLD_MS);
             row.sequence = 0;
         }
-        Ok(servers)
+        Ok(CachedRows { servers, findings })
     }
 }
--- a/crates/routed_control/src/control_vm.rs
+++ b/crates/routed_control/src/control_vm.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 use world::{Error, ErrorKind, LockRank, MachineName, Place, RankedMutex, Result};
 
-use crate::cache::Cache;
+use crate::cache::{Cache, CachedRows};
 use crate::feed::{FeedRequest, FeedResponse, Reader};
 use crate::feed_reader;
 use crate::replication_transport::{CATALOG_GROUP, PeerTransport};
@@ -109,7 +109,7 @@
         let links = Arc::new(Links::new(identity.clone(), Arc::clone(&server)));
         let _ = control_vm.links.set(Arc::clone(&links));
         transport.connect(links);
-        control_vm.load_cached_servers();
+        control_vm.load_cached_rows();
         tokio::spawn(accept(listener, identity, server));
         tokio::spawn(Arc::clone(&control_vm).save_periodically());
         tokio::spawn(Arc::clone(&control_vm).sweep_periodically());
@@ -250,13 +250,15 @@
             boot,
             cursor,
             catalog_index,
+            findings,
         } = request;
         let news = Update {
             row: me,
             age_ms: 0,
             lost: false,
         };
-        self.merge([news]);
+        let findings = findings.into_iter().filter(|f| f.row.is_finding());
+        self.merge(std::iter::once(news).chain(findings));
         let cursor = if boot == self.boot { cursor } else { 0 };
         let wait_until = Instant::now() + FEED_WAIT;
         match reader {
@@ -303,6 +305,7 @@
             };
             (news, registry.clock())
         };
+        let (findings, news) = news.into_iter().partition(|news| news.row.is_finding());
         let (catalog, index) = match reader {
             Reader::Entry => self.catalog.read_local(|catalog| {
                 (catalog.since_without_source(catalog_index), catalog.index())
@@ -318,6 +321,7 @@
             catalog_index: index,
             catalog,
             news,
+            findings,
         }
     }
 
@@ -325,18 +329,23 @@
         Cache::new(&self.settings.data_dir)
     }
 
-    /// Loads the servers that were known before a restart.
-    fn load_cached_servers(&self) {
-        let servers = match self.cache().load() {
-            Ok(servers) => servers,
+    /// Loads the servers and findings that were known before a restart.
+    fn load_cached_rows(&self) {
+        let cached = match self.cache().load() {
+            Ok(cached) => cached,
             Err(error) => {
                 log::info!(target: "hub", error:% = error; "no cached backend servers loaded");
                 return;
             }
         };
-        log::info!(target: "hub", servers = servers.len(); "cached backend servers loaded");
-        self.merge(servers.into_iter().map(|row| Update {
-            row: Row::Server(row),
+        log::info!(
+            target: "hub", servers = cached.servers.len(), findings = cached.findings.len();
+            "cached backend servers loaded"
+        );
+        let servers = cached.servers.into_iter().map(Row::Server);
+        let rows = servers.chain(cached.findings.into_iter().map(Row::Finding));
+        self.merge(rows.map(|row| Update {
+            row,
             age_ms: 0,
             lost: false,
         }));
@@ -346,16 +355,20 @@
         let mut saved = 0;
         loop {
             tokio::time::sleep(SAVE_INTERVAL).await;
-            let (change, servers) = {
+            let (change, rows) = {
                 let registry = self.registry.lock();
-                (registry.last_change(), registry.servers())
+                let rows = CachedRows {
+                    servers: registry.servers(),
+                    findings: registry.findings(Instant::now()),
+                };
+                (registry.last_change(), rows)
             };
             if change == saved || self.started_at.elapsed() < SETTLE_TIME {
                 continue;
             }
             saved = change;
             let cache = self.cache();
-            let saving = tokio::task::spawn_blocking(move || cache.save(&servers));
+            let saving = tokio::task::spawn_blocking(move || cache.save(&rows));
             match saving.await {
                 Ok(Ok(())) => {}
                 Ok(Err(error)) => log::warn!(target: "hub", error:? = error; "servers not saved"),
--- a/crates/routed_control/src/feed.rs
+++ b/crates/routed_control/src/feed.rs
@@ -31,6 +31,9 @@
     pub cursor: u64,
     /// Catalog index up to which the reader has changes.
     pub catalog_index: u64,
+    /// Findings of an entry VM that it has not reported to this control VM yet.
+    #[serde(skip)]
+    pub findings: Vec<Update>,
 }
 
 /// Changes after the reader's cursor, with the next cursor.
@@ -51,25 +54,67 @@
     pub catalog_index: u64,
     /// Changed rows of the catalog, without source texts.
     pub catalog: Vec<catalog::Row>,
-    /// Changed rows of the registry.
+    /// Changed rows of the registry, without findings.
     pub news: Vec<Update>,
+    /// Changed findings.
+    #[serde(skip)]
+    pub findings: Vec<Update>,
+}
+
+/// A message with findings, which follow its other fields: a process of an earlier
+/// version ignores them, and its own messages end before them.
+pub trait WithFindings {
+    /// Returns the findings.
+    fn findings(&self) -> &[Update];
+
+    /// Replaces the findings.
+    fn set_findings(&mut self, findings: Vec<Update>);
+}
+
+impl WithFindings for FeedRequest {
+    fn findings(&self) -> &[Update] {
+        &self.findings
+    }
+
+    fn set_findings(&mut self, findings: Vec<Update>) {
+        self.findings = findings;
+    }
+}
+
+impl WithFindings for FeedResponse {
+    fn findings(&self) -> &[Update] {
+        &self.findings
+    }
+
+    fn set_findings(&mut self, findings: Vec<Update>) {
+        self.findings = findings;
+    }
 }
 
 /// Encodes a feed request or response.
 ///
 /// # Errors
 /// [`ErrorKind::Internal`] when the message can't be encoded.
-pub fn encode<T: Serialize>(message: &T) -> Result<Bytes> {
-    let bytes = postcard::to_stdvec(message);
-    bytes
-        .map(Bytes::from)
-        .map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))
+pub fn encode<T: Serialize + WithFindings>(message: &T) -> Result<Bytes> {
+    let encoded = postcard::to_stdvec(message).and_then(|mut bytes| {
+        if !message.findings().is_empty() {
+            bytes.extend(postcard::to_stdvec(message.findings())?);
+        }
+        Ok(bytes.into())
+    });
+    encoded.map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))
 }
 
 /// Decodes a feed request or response.
 ///
 /// # Errors
 /// [`ErrorKind::BadRequest`] when the payload can't be decoded.
-pub fn decode<'a, T: Deserialize<'a>>(payload: &'a [u8]) -> Result<T> {
-    postcard::from_bytes(payload).map_err(|e| Error::new(ErrorKind::BadRequest, e.to_string()))
+pub fn decode<'a, T: Deserialize<'a> + WithFindings>(payload: &'a [u8]) -> Result<T> {
+    let decoded = postcard::take_from_bytes::<T>(payload).and_then(|(mut message, rest)| {
+        if !rest.is_empty() {
+            message.set_findings(postcard::from_bytes(rest)?);
+        }
+        Ok(message)
+    });
+    decoded.map_err(|e| Error::new(ErrorKind::BadRequest, e.to_string()))
 }
--- a/crates/routed_control/src/feed_reader.rs
+++ b/crates/routed_control/src/feed_reader.rs
@@ -57,6 +57,7 @@
             boot,
             cursor,
             catalog_index: 0,
+            findings: Vec::new(),
         };
         let response = request_feed(&control_vm, addr, &request).await;
         if reached != Some(response.is_some()) {
@@ -68,7 +69,7 @@
             continue;
         };
         (boot, cursor) = (response.boot, response.cursor);
-        control_vm.merge(response.news);
+        control_vm.merge(response.news.into_iter().chain(response.findings));
     }
 }
 
--- a/crates/world/src/kind.rs
+++ b/crates/world/src/kind.rs
@@ -106,6 +106,9 @@
     ServerShed => "server_shed", 503, NotRun, Some(200);
     /// The request is refused because backend servers crash when they run it.
     Poison => "poison", 422, Unknown, Some(60_000);
+    /// The request is not sent, because backend servers have crashed when they ran an equal
+    /// one.
+    Quarantined => "quarantined", 503, NotRun, Some(60_000);
     /// A request for a non-idempotent operation has no idempotency key.
     KeyMissing => "key_missing", 400, NotRun, None;
     /// The idempotency key was used before for a different request.
