Leave a server alone for the time that its Retry-After names

Callers were sent to a server that had said it would turn them away, and a refused caller was told to come back after 200 ms.

Cause: the header of a backend server's refusal was not read. Failures counted against a server only in the cost that orders servers.

Change: the dialect decodes the time; the balancer offers the server to no request until it has passed, and checks again at the moment of sending. When all servers of a service are left alone, requests are refused at arrival with the time at which the first one takes requests again.

--- a/crates/affinity/src/affinity_balancer.rs
+++ b/crates/affinity/src/affinity_balancer.rs
@@ -8,6 +8,7 @@
 use discovery::ServerRow;
 use steer::hash;
 use tokio::time::Instant;
+use world::unit::as_ms;
 use world::{DomainName, MachineName, RegionName, ServerName, ServiceName, ServiceTerms};
 
 use crate::request::{AttemptEnd, Choice, Full, Report, Request};
@@ -241,15 +242,47 @@
         service.choose(request, &context, now)
     }
 
+    /// Sends no requests to the chosen server for a time that it has named, from now on.
+    pub fn hold_off(&mut self, choice: &Choice, time: Duration, now: Instant) {
+        let service = self.services.get_mut(&choice.service);
+        if let Some(server) = service.and_then(|s| s.servers.get_mut(&choice.server))
+            && server.born_ms == choice.born_ms
+            && server.hold_off(time, now)
+        {
+            log::info!(
+                target: "belief", server:% = server.name, born_ms = server.born_ms,
+                time_ms = as_ms(time);
+                "server wants no requests for a while"
+            );
+        }
+    }
+
+    /// Returns when a request that servers of the service have turned away should come
+    /// back, milliseconds.
+    #[must_use]
+    pub fn retry_after_shed_ms(&self, service: &ServiceName, now: Instant) -> u32 {
+        let context = context(
+            &self.settings,
+            self.own_hash,
+            &self.evacuated,
+            &self.rtts_ms,
+            &self.entry_hashes,
+        );
+        let service = self.services.get(service);
+        service.map_or(RETRY_AFTER_UNKNOWN_MS, |s| {
+            s.retry_after_shed_ms(&context, now)
+        })
+    }
+
     /// Returns whether the chosen server still runs and may get new requests.
     #[must_use]
-    pub fn is_open(&self, choice: &Choice) -> bool {
+    pub fn is_open(&self, choice: &Choice, now: Instant) -> bool {
         if self.evacuated.contains(&choice.place.domain) {
             return false;
         }
         let service = self.services.get(&choice.service);
         let server = service.and_then(|s| s.servers.get(&choice.server));
-        server.is_some_and(|s| !s.leaving && s.born_ms == choice.born_ms)
+        server.is_some_and(|s| !s.leaving && !s.is_held_off(now) && s.born_ms == choice.born_ms)
     }
 
     /// Ends an attempt that took `took` and releases its slot.
--- a/crates/affinity/src/request.rs
+++ b/crates/affinity/src/request.rs
@@ -22,6 +22,13 @@
     pub time_left: Duration,
 }
 
+impl Request<'_> {
+    /// Returns whether servers of this region may serve the request.
+    pub(crate) fn allows(&self, region: &RegionName) -> bool {
+        self.homes.is_empty() || self.homes.contains(region)
+    }
+}
+
 /// The backend server chosen for an attempt. The attempt occupies a slot until
 /// [`crate::AffinityBalancer::end_attempt`].
 #[derive(Clone, Debug)]
--- a/crates/affinity/src/server.rs
+++ b/crates/affinity/src/server.rs
@@ -20,6 +20,10 @@
 /// announcement ends the backoff.
 const BACKOFF_MAX: Duration = Duration::from_secs(2);
 
+/// Longest time for which a server is left alone because it has asked for that. A longer
+/// one is taken for a mistake of the server.
+const HOLD_OFF_MAX: Duration = Duration::from_secs(3_600);
+
 /// Weight of a new attempt in the failure rate.
 const FAILURE_WEIGHT: f64 = 0.2;
 
@@ -57,6 +61,8 @@
     failure_rate_at: Instant,
     backoff_until: Instant,
     backoff: Duration,
+    /// End of the time for which the server wants no requests.
+    held_off_until: Instant,
     /// Start of the present time without a response: the last response, or the
     /// first send after the server was idle.
     waiting_since: Option<Instant>,
@@ -85,6 +91,7 @@
             failure_rate_at: now,
             backoff_until: now,
             backoff: BACKOFF_MIN,
+            held_off_until: now,
             waiting_since: None,
             last_response_at: None,
         }
@@ -129,6 +136,23 @@
         now < self.backoff_until
     }
 
+    /// Sends no requests until a time that the server has named. Announcements do not
+    /// shorten it; a new incarnation starts without it. Returns whether it begins now.
+    pub(crate) fn hold_off(&mut self, time: Duration, now: Instant) -> bool {
+        let begins = !self.is_held_off(now);
+        self.held_off_until = self.held_off_until.max(now + time.min(HOLD_OFF_MAX));
+        begins
+    }
+
+    /// Returns for how long the server wants no requests.
+    pub(crate) fn held_off_for(&self, now: Instant) -> Duration {
+        self.held_off_until.saturating_duration_since(now)
+    }
+
+    pub(crate) fn is_held_off(&self, now: Instant) -> bool {
+        now < self.held_off_until
+    }
+
     /// Applies a load report.
     pub(crate) fn apply_report(&mut self, report: Report, now: Instant) {
         let own_load = f64::from(self.in_flight);
--- a/crates/affinity/src/service.rs
+++ b/crates/affinity/src/service.rs
@@ -170,12 +170,12 @@
         let candidates = self.candidates(preference_order, request, context, now);
         let left_ms = request.time_left.as_secs_f64() * 1_000.0;
         let Some(best) = self.best(&candidates, first_region_usable, left_ms) else {
-            return Err(self.full(candidates.len()));
+            return Err(self.full(candidates.len(), request, context, now));
         };
         let count = candidates.len();
         let (rank, expected_ms) = (best.rank, whole_ms(best.cost_ms));
         let Some(server) = self.servers.get_mut(&best.name) else {
-            return Err(self.full(count));
+            return Err(self.full(count, request, context, now));
         };
         let cold = server.is_cold(now);
         server.attempt_started(now);
@@ -217,16 +217,44 @@
     }
 
     /// Returns the error for a request that no server can take.
-    fn full(&self, candidates: usize) -> Full {
-        let retry_ms = self
-            .mean_response_ms
-            .clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+    fn full(
+        &self,
+        candidates: usize,
+        request: &Request<'_>,
+        context: &Context<'_>,
+        now: Instant,
+    ) -> Full {
+        let open = self.servers.values().filter(|s| is_open(s, context));
+        let allowed = open.filter(|s| request.allows(&s.place.region));
         Full {
-            retry_after_ms: u32::try_from(whole_ms(retry_ms)).unwrap_or(u32::MAX),
+            retry_after_ms: self.retry_after_ms(allowed, now),
             candidates,
         }
     }
 
+    /// Returns when one of the servers is expected to take requests again: after the
+    /// average response time, or when the first one no longer wants to be left alone.
+    fn retry_after_ms<'a>(
+        &'a self,
+        servers: impl Iterator<Item = &'a Server>,
+        now: Instant,
+    ) -> u32 {
+        let busy_ms = self
+            .mean_response_ms
+            .clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+        let held_off = servers.map(|s| s.held_off_for(now)).min();
+        let held_off_ms = held_off.map_or(0, world::unit::as_ms);
+        let retry_ms = whole_ms(busy_ms).max(held_off_ms);
+        u32::try_from(retry_ms).unwrap_or(u32::MAX)
+    }
+
+    /// Returns when a request that servers have just turned away should come back,
+    /// milliseconds.
+    pub fn retry_after_shed_ms(&self, context: &Context<'_>, now: Instant) -> u32 {
+        let open = self.servers.values().filter(|s| is_open(s, context));
+        self.retry_after_ms(open, now)
+    }
+
     /// Returns the servers of `usable` that have free capacity, with their costs.
     fn candidates(
         &mut self,
@@ -268,9 +296,9 @@
     ) -> Vec<(usize, ServerName)> {
         let allowed = |server: &&Server| {
             let region = &server.place.region;
-            let home = request.homes.is_empty() || request.homes.contains(region);
             let reachable = !server.is_backing_off(now) && !request.tried.contains(&server.name);
-            home && is_open(server, context) && reachable
+            let wants = is_open(server, context) && !server.is_held_off(now);
+            request.allows(region) && wants && reachable
         };
         let open = self.servers.values().filter(allowed);
         let Some(object) = request.object else {
--- a/crates/affinity/tests/affinity_balancer.rs
+++ b/crates/affinity/tests/affinity_balancer.rs
@@ -171,7 +171,7 @@
     assert_eq!(choice.server.as_str(), "north-a-2");
     balancer.mark_leaving(&choice.server, 1);
     assert!(
-        !balancer.is_open(&choice),
+        !balancer.is_open(&choice, now),
         "the server left after the choice"
     );
     let elsewhere = choose_and_end(&mut balancer, 1, false, now).unwrap();
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -137,8 +137,9 @@
         }
         Ok(Err(_)) | Err(_) => return AttemptResult::NotRun(AttemptEnd::Unreached),
     };
-    // The server may have started to leave while the connection was opened.
-    if !state.balancer.lock().is_open(choice) {
+    // The server may have started to leave, or have asked for no more requests, while the
+    // connection was opened.
+    if !state.balancer.lock().is_open(choice, Instant::now()) {
         return AttemptResult::NotRun(AttemptEnd::Dropped);
     }
     let Some(request) = request(state, choice, outgoing, deadline) else {
@@ -166,6 +167,10 @@
         );
         return AttemptResult::MayHaveRun(AttemptEnd::Broken);
     }
+    if let Some(hold_off_ms) = reply.hold_off_ms {
+        let mut balancer = state.balancer.lock();
+        balancer.hold_off(choice, ms(hold_off_ms), Instant::now());
+    }
     connection.idle_max = reply.idle_ms.map(ms);
     let closes = closes_connection(&head);
     let received =
--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -50,6 +50,8 @@
     pub report: Option<Report>,
     /// How long the connection may stay idle, milliseconds.
     pub idle_ms: Option<u64>,
+    /// Time for which the server wants no requests of this entry VM, milliseconds.
+    pub hold_off_ms: Option<u64>,
 }
 
 /// Encoding of request and response heads as HTTP headers.
--- a/crates/forward/src/retry.rs
+++ b/crates/forward/src/retry.rs
@@ -271,7 +271,12 @@
             ),
             None => {
                 let detail = format!("{sends} backend servers did not take it");
-                Refusal::new(ErrorKind::ServerShed, detail)
+                let balancer = self.state.balancer.lock();
+                let retry_after_ms = balancer.retry_after_shed_ms(self.service, Instant::now());
+                Refusal {
+                    error: Error::new(ErrorKind::ServerShed, detail),
+                    retry_after_ms: Some(retry_after_ms),
+                }
             }
         }
     }
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -31,6 +31,8 @@
     Silent,
     /// Reports that it did not run the request.
     Shed,
+    /// The same, and wants no requests for this time, milliseconds.
+    HoldOff(u64),
     /// Closes the connection after reading the request.
     Reset,
     /// Sends half of the response body and closes the connection.
@@ -112,6 +114,9 @@
             Behaviour::Shed => format!(
                 "HTTP/1.1 503 Full\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
             ),
+            Behaviour::HoldOff(time_ms) => format!(
+                "HTTP/1.1 503 Full\r\nx-id: {id}\r\nx-not-run: 1\r\nx-hold-off: {time_ms}\r\ncontent-length: 0\r\n\r\n"
+            ),
             Behaviour::Reset => return,
             Behaviour::Half => {
                 let whole = answer(&id);
@@ -167,6 +172,7 @@
             id: text(&head.headers, "x-id").map(Into::into),
             not_run: head.headers.contains_key("x-not-run"),
             sealed: head.headers.contains_key("x-seal"),
+            hold_off_ms: text(&head.headers, "x-hold-off").and_then(|t| t.parse().ok()),
             ..ResponseHead::default()
         }
     }
@@ -174,10 +180,15 @@
     fn encode_error(
         &self,
         error: &Error,
-        _: Option<u32>,
+        retry_after_ms: Option<u32>,
         _: Option<&RequestHead>,
     ) -> Response<Bytes> {
         let mut response = Response::new(Bytes::from(error.kind.to_string()));
+        if let Some(retry_after_ms) = retry_after_ms {
+            response
+                .headers_mut()
+                .insert("x-retry-after", retry_after_ms.into());
+        }
         *response.status_mut() = error.kind.response().status.try_into().expect("status");
         response
     }
@@ -310,18 +321,35 @@
 
 /// Sends a request on a new connection; returns the status line and body.
 pub async fn get(entry: &Entry, path: &str, id: &str) -> String {
+    let Some(answer) = get_text(entry, path, id).await else {
+        return "reset".into();
+    };
+    let status = answer.lines().next().unwrap_or("closed").to_owned();
+    let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    format!("{status} {body}")
+}
+
+/// Time after which a refused client may come back, milliseconds; `None` if the
+/// response does not say.
+pub async fn get_retry_after_ms(entry: &Entry, path: &str, id: &str) -> Option<u64> {
+    let answer = get_text(entry, path, id).await?;
+    let line = answer
+        .lines()
+        .find_map(|line| line.strip_prefix("x-retry-after: "))?;
+    line.parse().ok()
+}
+
+/// Sends a request on a new connection; returns the whole response, or `None` when the
+/// connection was reset.
+async fn get_text(entry: &Entry, path: &str, id: &str) -> Option<String> {
     let mut stream = TcpStream::connect(entry.addr).await.expect("connected");
     let request = format!(
         "GET {path} HTTP/1.1\r\nhost: site.example\r\nx-id: {id}\r\nx-left: 5000\r\nconnection: close\r\n\r\n"
     );
     stream.write_all(request.as_bytes()).await.expect("sent");
     let mut answer = String::new();
-    if stream.read_to_string(&mut answer).await.is_err() {
-        return "reset".into();
-    }
-    let status = answer.lines().next().unwrap_or("closed").to_owned();
-    let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
-    format!("{status} {body}")
+    let read = stream.read_to_string(&mut answer).await;
+    read.ok().map(|_| answer)
 }
 
 /// How many requests each stub server has read.
