--- a/crates/affinity/src/affinity_balancer.rs
+++ b/crates/affinity/src/affinity_balancer.rs
@@ -11,6 +11,7 @@
 use world::unit::as_ms;
 use world::{DomainName, MachineName, RegionName, ServerName, ServiceName, ServiceTerms};
 
+use crate::limit::Limit;
 use crate::request::{AttemptEnd, Choice, Full, Report, Request};
 use crate::server::Server;
 use crate::service::{Context, Service};
@@ -257,6 +258,46 @@
         }
     }
 
+    /// Records whether the chosen server named a limit in its response to a request that
+    /// was sent at `sent_at`. The server's limit ends with the first response without one
+    /// to a request that was sent since it was last named.
+    pub fn apply_limit(
+        &mut self,
+        choice: &Choice,
+        per_1000_s: Option<u64>,
+        sent_at: Instant,
+        now: Instant,
+    ) {
+        let service = self.services.get_mut(&choice.service);
+        let server = service.and_then(|s| s.servers.get_mut(&choice.server));
+        let Some(server) = server.filter(|s| s.born_ms == choice.born_ms) else {
+            return;
+        };
+        let known = server.limit.as_ref().map(|limit| limit.per_1000_s);
+        let is_old = server
+            .limit
+            .as_ref()
+            .is_some_and(|limit| sent_at < limit.named_at);
+        match per_1000_s {
+            Some(per_1000_s) => {
+                let named_at = now;
+                server.limit = Some(Limit {
+                    per_1000_s,
+                    named_at,
+                });
+            }
+            None if !is_old => server.limit = None,
+            None => return,
+        }
+        if known != per_1000_s {
+            log::info!(
+                target: "belief", server:% = server.name, born_ms = server.born_ms,
+                per_1000_s:? = per_1000_s, before:? = known;
+                "server named another limit"
+            );
+        }
+    }
+
     /// Returns when a request that servers of the service have turned away should come
     /// back, milliseconds.
     #[must_use]
--- a/crates/affinity/src/server.rs
+++ b/crates/affinity/src/server.rs
@@ -10,6 +10,7 @@
 use world::{Place, ServerName};
 
 use crate::cold::SendWindow;
+use crate::limit::Limit;
 use crate::request::{AttemptEnd, Report};
 
 /// Backoff after the first failed connection; it doubles with each further one
@@ -63,6 +64,8 @@
     backoff: Duration,
     /// End of the time for which the server wants no requests.
     held_off_until: Instant,
+    /// Limit on the requests of all entry VMs together, while the server names one.
+    pub(crate) limit: Option<Limit>,
     /// Start of the present time without a response: the last response, or the
     /// first send after the server was idle.
     waiting_since: Option<Instant>,
@@ -92,6 +95,7 @@
             backoff_until: now,
             backoff: BACKOFF_MIN,
             held_off_until: now,
+            limit: None,
             waiting_since: None,
             last_response_at: None,
         }
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -145,6 +145,7 @@
     let Some(request) = request(state, choice, outgoing, deadline) else {
         return AttemptResult::NotRun(AttemptEnd::Dropped);
     };
+    let sent_at = Instant::now();
     let response = match timeout_at(deadline, connection.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(Failure::Unsent)) => return AttemptResult::NotRun(AttemptEnd::Dropped),
@@ -167,9 +168,8 @@
         );
         return AttemptResult::MayHaveRun(AttemptEnd::Broken);
     }
-    if let Some(hold_off_ms) = reply.hold_off_ms {
-        let mut balancer = state.balancer.lock();
-        balancer.hold_off(choice, ms(hold_off_ms), Instant::now());
+    if !reply.replaced {
+        apply_response(state, choice, &reply, sent_at);
     }
     connection.idle_max = reply.idle_ms.map(ms);
     let closes = closes_connection(&head);
@@ -196,6 +196,22 @@
     classify(head, body, &reply)
 }
 
+/// Applies what the chosen server says of itself in a response to a request that was
+/// sent at `sent_at`.
+fn apply_response<D: Dialect>(
+    state: &State<D>,
+    choice: &Choice,
+    reply: &ResponseHead,
+    sent_at: Instant,
+) {
+    let now = Instant::now();
+    let mut balancer = state.balancer.lock();
+    if let Some(hold_off_ms) = reply.hold_off_ms {
+        balancer.hold_off(choice, ms(hold_off_ms), now);
+    }
+    balancer.apply_limit(choice, reply.limit_per_1000_s, sent_at, now);
+}
+
 /// Classifies a complete or streamed response by its head.
 fn classify(head: response::Parts, body: ResponseBody, reply: &ResponseHead) -> AttemptResult {
     if reply.replaced {
--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -52,6 +52,8 @@
     pub idle_ms: Option<u64>,
     /// Time for which the server wants no requests of this entry VM, milliseconds.
     pub hold_off_ms: Option<u64>,
+    /// Requests that the server takes from all entry VMs together, in 1,000 s.
+    pub limit_per_1000_s: Option<u64>,
 }
 
 /// Encoding of request and response heads as HTTP headers.
