Keep the limits that backend servers name, over all entry VMs

Change: the limit is divided among the known entry VMs, by the share of their region's requests that falls to the server's region, as whole requests in a window of 2 s or more. It travels as a finding, so that an entry VM that has restarted, or to which the server has not spoken, keeps it. It ends with a response without one or after 10 s of silence. Requests whose servers are at their limits go to the object's next servers, else are refused at once with the time at which a part is free.

--- a/crates/affinity/src/affinity_balancer.rs
+++ b/crates/affinity/src/affinity_balancer.rs
@@ -11,10 +11,9 @@
 use world::unit::as_ms;
 use world::{DomainName, MachineName, RegionName, ServerName, ServiceName, ServiceTerms};
 
-use crate::limit::Limit;
 use crate::request::{AttemptEnd, Choice, Full, Report, Request};
 use crate::server::Server;
-use crate::service::{Context, Service};
+use crate::service::{Context, EntryVm, Service};
 use crate::settings::Settings;
 
 /// Time for which a lost entry VM still counts when limits are divided among
@@ -53,10 +52,10 @@
     evacuated: Vec<DomainName>,
     /// Average round-trip time to each region, milliseconds.
     rtts_ms: BTreeMap<RegionName, f64>,
-    /// Known entry VMs, and when each was reported lost.
-    entries: HashMap<MachineName, Option<Instant>>,
-    /// Hashes of the names of `entries`.
-    entry_hashes: Vec<u64>,
+    /// Known entry VMs with their regions, and when each was reported lost.
+    entries: HashMap<MachineName, (RegionName, Option<Instant>)>,
+    /// The same entry VMs by the hash of their names.
+    entry_vms: Vec<EntryVm>,
 }
 
 impl AffinityBalancer {
@@ -66,7 +65,7 @@
         let region = settings.place.region.clone();
         let regions = settings.domains.values().cloned();
         let mut rtts_ms: BTreeMap<RegionName, f64> = regions.map(|r| (r, INITIAL_RTT_MS)).collect();
-        rtts_ms.insert(region, 0.0);
+        rtts_ms.insert(region.clone(), 0.0);
         let own_hash = hash::name(settings.name.as_str());
         Self {
             own_hash,
@@ -76,8 +75,11 @@
             leaving: HashMap::new(),
             evacuated: Vec::new(),
             rtts_ms,
-            entries: HashMap::from([(settings.name.clone(), None)]),
-            entry_hashes: vec![own_hash],
+            entries: HashMap::from([(settings.name.clone(), (region.clone(), None))]),
+            entry_vms: vec![EntryVm {
+                hash: own_hash,
+                region,
+            }],
             settings,
         }
     }
@@ -165,16 +167,23 @@
         }
     }
 
-    /// Records whether another entry VM is lost.
-    pub fn update_entry_vm(&mut self, name: &MachineName, lost: bool, now: Instant) {
+    /// Records whether another entry VM of a region is lost.
+    pub fn update_entry_vm(
+        &mut self,
+        name: &MachineName,
+        region: &RegionName,
+        lost: bool,
+        now: Instant,
+    ) {
         if *name == self.settings.name {
             return;
         }
         let known = self.entries.len();
-        let row = self.entries.entry(name.clone()).or_default();
-        match (lost, &row) {
-            (true, None) => *row = Some(now),
-            (false, Some(_)) => *row = None,
+        let row = self.entries.entry(name.clone());
+        let (_, lost_at) = row.or_insert_with(|| (region.clone(), None));
+        match (lost, &lost_at) {
+            (true, None) => *lost_at = Some(now),
+            (false, Some(_)) => *lost_at = None,
             _ => {}
         }
         if self.entries.len() > known {
@@ -184,15 +193,19 @@
 
     /// Updates the list of known entry VMs and divides the retry budgets among them.
     fn refresh_entries(&mut self) {
-        let (before, known) = (self.entry_hashes.len(), self.entries.len());
+        let (before, known) = (self.entry_vms.len(), self.entries.len());
         if before != known {
             log::info!(
                 target: "belief", before, known;
                 "limits divided among another number of entry VMs"
             );
         }
-        let names = self.entries.keys();
-        self.entry_hashes = names.map(|name| hash::name(name.as_str())).collect();
+        let entries = self.entries.iter();
+        let entry_vms = entries.map(|(name, (region, _))| EntryVm {
+            hash: hash::name(name.as_str()),
+            region: region.clone(),
+        });
+        self.entry_vms = entry_vms.collect();
         self.divide_budgets();
     }
 
@@ -202,14 +215,14 @@
         let is_retained = |lost_at: &Option<Instant>| {
             lost_at.is_none_or(|at| now.saturating_duration_since(at) < LOST_ENTRY_RETENTION)
         };
-        self.entries.retain(|_, lost_at| is_retained(lost_at));
+        self.entries.retain(|_, (_, lost_at)| is_retained(lost_at));
         self.refresh_entries();
         let context = context(
             &self.settings,
             self.own_hash,
             &self.evacuated,
             &self.rtts_ms,
-            &self.entry_hashes,
+            known_entry_vms(&self.entry_vms, self.started_at, now),
         );
         for (name, service) in &mut self.services {
             service.advance(&context, now);
@@ -227,13 +240,12 @@
     /// # Errors
     /// [`Full`] if no server has free capacity for the request.
     pub fn choose(&mut self, request: &Request<'_>, now: Instant) -> Result<Choice, Full> {
-        let known = now.saturating_duration_since(self.started_at) >= ENTRY_DISCOVERY_TIME;
         let context = context(
             &self.settings,
             self.own_hash,
             &self.evacuated,
             &self.rtts_ms,
-            if known { &self.entry_hashes } else { &[] },
+            known_entry_vms(&self.entry_vms, self.started_at, now),
         );
         let service = self.services.get_mut(request.service);
         let service = service.ok_or(Full {
@@ -259,43 +271,60 @@
     }
 
     /// Records whether the chosen server named a limit in its response to a request that
-    /// was sent at `sent_at`. The server's limit ends with the first response without one
-    /// to a request that was sent since it was last named.
+    /// was sent at `sent_at`. Returns whether the response ended the server's limit: it
+    /// names none, and the request was sent since the limit was last named.
     pub fn apply_limit(
         &mut self,
         choice: &Choice,
         per_1000_s: Option<u64>,
         sent_at: Instant,
         now: Instant,
-    ) {
-        let service = self.services.get_mut(&choice.service);
-        let server = service.and_then(|s| s.servers.get_mut(&choice.server));
-        let Some(server) = server.filter(|s| s.born_ms == choice.born_ms) else {
-            return;
+    ) -> bool {
+        let Some(server) = self.server_mut(&choice.server) else {
+            return false;
         };
-        let known = server.limit.as_ref().map(|limit| limit.per_1000_s);
-        let is_old = server
-            .limit
-            .as_ref()
-            .is_some_and(|limit| sent_at < limit.named_at);
-        match per_1000_s {
-            Some(per_1000_s) => {
-                let named_at = now;
-                server.limit = Some(Limit {
-                    per_1000_s,
-                    named_at,
-                });
+        let known = server.limit.as_ref();
+        let Some(known) = known.filter(|_| per_1000_s.is_none()) else {
+            if per_1000_s.is_some() {
+                self.set_limit(&choice.server, choice.born_ms, per_1000_s, now, now);
             }
-            None if !is_old => server.limit = None,
-            None => return,
+            return false;
+        };
+        sent_at >= known.named_at && self.set_limit(&choice.server, choice.born_ms, None, now, now)
+    }
+
+    /// Sets or ends the limit that an incarnation of a server named at `named_at`, to this
+    /// or another entry VM. Returns whether that is a change.
+    pub fn set_limit(
+        &mut self,
+        server: &ServerName,
+        born_ms: u64,
+        per_1000_s: Option<u64>,
+        named_at: Instant,
+        now: Instant,
+    ) -> bool {
+        let Some(row) = self.server_mut(server).filter(|s| s.born_ms == born_ms) else {
+            return false;
+        };
+        if !row.set_limit(per_1000_s, named_at) {
+            return false;
         }
-        if known != per_1000_s {
-            log::info!(
-                target: "belief", server:% = server.name, born_ms = server.born_ms,
-                per_1000_s:? = per_1000_s, before:? = known;
-                "server named another limit"
-            );
+        log::info!(
+            target: "belief", server:% = server, born_ms, per_1000_s:? = per_1000_s;
+            "server named another limit"
+        );
+        let context = context(
+            &self.settings,
+            self.own_hash,
+            &self.evacuated,
+            &self.rtts_ms,
+            known_entry_vms(&self.entry_vms, self.started_at, now),
+        );
+        let service = self.service_of.get(server);
+        if let Some(service) = service.and_then(|name| self.services.get_mut(name)) {
+            service.divide_limits(&context, now);
         }
+        true
     }
 
     /// Returns when a request that servers of the service have turned away should come
@@ -307,7 +336,7 @@
             self.own_hash,
             &self.evacuated,
             &self.rtts_ms,
-            &self.entry_hashes,
+            known_entry_vms(&self.entry_vms, self.started_at, now),
         );
         let service = self.services.get(service);
         service.map_or(RETRY_AFTER_UNKNOWN_MS, |s| {
@@ -383,7 +412,7 @@
     }
 
     fn divide_budgets(&mut self) {
-        let entries = self.entry_hashes.len();
+        let entries = self.entry_vms.len();
         let (ratio, slack) = (self.settings.retry_ratio, self.settings.retry_slack);
         for service in self.services.values_mut() {
             service.set_budget(ratio, slack, entries);
@@ -407,12 +436,21 @@
     }
 }
 
+/// Returns the entry VMs, or none while some may not be known yet.
+fn known_entry_vms(entry_vms: &[EntryVm], started_at: Instant, now: Instant) -> &[EntryVm] {
+    if now.saturating_duration_since(started_at) >= ENTRY_DISCOVERY_TIME {
+        entry_vms
+    } else {
+        &[]
+    }
+}
+
 fn context<'a>(
     settings: &'a Settings,
     own_hash: u64,
     evacuated: &'a [DomainName],
     rtts_ms: &'a BTreeMap<RegionName, f64>,
-    entries: &'a [u64],
+    entries: &'a [EntryVm],
 ) -> Context<'a> {
     Context {
         place: &settings.place,
--- a/crates/affinity/src/cold.rs
+++ b/crates/affinity/src/cold.rs
@@ -8,7 +8,7 @@
 
 /// Window of the limit: one second, plus a margin for requests that arrive at
 /// the server closer together than they were sent.
-const WINDOW: Duration = Duration::from_millis(1_150);
+pub const WINDOW: Duration = Duration::from_millis(1_150);
 
 /// Returns the requests per window that this entry VM may send to a cold
 /// server: an equal part of `total`, the requests that all entry VMs together may
@@ -24,7 +24,7 @@
     whole / entry_vm_count + usize::from(rank < whole % entry_vm_count)
 }
 
-/// Times of recent requests to a cold server.
+/// Times of recent requests to a server.
 #[derive(Clone, Debug, Default)]
 pub struct SendWindow {
     times: VecDeque<Instant>,
@@ -32,12 +32,30 @@
 
 impl SendWindow {
     /// Returns whether fewer than `quota` requests were sent within the window.
-    pub fn has_capacity(&mut self, quota: usize, now: Instant) -> bool {
-        let old = |at: &Instant| now.saturating_duration_since(*at) > WINDOW;
+    pub fn has_capacity(&mut self, quota: usize, window: Duration, now: Instant) -> bool {
+        self.forget(window, now);
+        self.times.len() < quota
+    }
+
+    /// Forgets requests that were sent before the window.
+    pub fn forget(&mut self, window: Duration, now: Instant) {
+        let old = |at: &Instant| now.saturating_duration_since(*at) > window;
         while self.times.front().is_some_and(old) {
             self.times.pop_front();
         }
-        self.times.len() < quota
+    }
+
+    /// Returns the time until fewer than `quota` requests were sent within the window;
+    /// the whole window if the quota is 0.
+    #[must_use]
+    pub fn wait(&self, quota: usize, window: Duration, now: Instant) -> Duration {
+        if quota == 0 {
+            return window;
+        }
+        let Some(newest) = self.times.len().checked_sub(quota) else {
+            return Duration::ZERO;
+        };
+        (self.times[newest] + window).saturating_duration_since(now)
     }
 
     /// Records a request.
--- a/crates/affinity/src/lib.rs
+++ b/crates/affinity/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod affinity_balancer;
 pub mod cold;
 pub mod estimate;
-mod limit;
+pub mod limit;
 pub mod request;
 pub mod server;
 pub mod service;
--- a/crates/affinity/src/server.rs
+++ b/crates/affinity/src/server.rs
@@ -148,15 +148,31 @@
         begins
     }
 
-    /// Returns for how long the server wants no requests.
-    pub(crate) fn held_off_for(&self, now: Instant) -> Duration {
-        self.held_off_until.saturating_duration_since(now)
+    /// Returns for how long this entry VM may send no request, by what the server has
+    /// said.
+    pub(crate) fn barred_for(&self, now: Instant) -> Duration {
+        let held_off = self.held_off_until.saturating_duration_since(now);
+        let limited = self.limit.as_ref().map(|limit| limit.wait(now));
+        held_off.max(limited.unwrap_or_default())
     }
 
     pub(crate) fn is_held_off(&self, now: Instant) -> bool {
         now < self.held_off_until
     }
 
+    /// Sets or ends the limit that the server names. Returns whether that is a change.
+    pub(crate) fn set_limit(&mut self, per_1000_s: Option<u64>, named_at: Instant) -> bool {
+        let known = self.limit.as_ref().map(|limit| limit.per_1000_s);
+        match (&mut self.limit, per_1000_s) {
+            (Some(limit), Some(per_1000_s)) => {
+                limit.per_1000_s = per_1000_s;
+                limit.named_at = limit.named_at.max(named_at);
+            }
+            (limit, per_1000_s) => *limit = per_1000_s.map(|rate| Limit::new(rate, named_at)),
+        }
+        known != per_1000_s
+    }
+
     /// Applies a load report.
     pub(crate) fn apply_report(&mut self, report: Report, now: Instant) {
         let own_load = f64::from(self.in_flight);
@@ -215,6 +231,9 @@
         if self.is_cold(now) {
             self.cold_sends.record(now);
         }
+        if let Some(limit) = &mut self.limit {
+            limit.record(now);
+        }
     }
 
     /// Counts a request as ended and updates backoff and failure rate.
--- a/crates/affinity/src/service.rs
+++ b/crates/affinity/src/service.rs
@@ -13,6 +13,7 @@
 
 use crate::cold;
 use crate::estimate::{self, CostInputs};
+use crate::limit::{self, RegionDemand};
 use crate::request::{Choice, Full, Request};
 use crate::server::Server;
 use crate::shares::{self, Shares};
@@ -58,6 +59,14 @@
 /// Upper bound of the retry time in [`Full`], milliseconds.
 const RETRY_AFTER_MAX_MS: f64 = 1_000.0;
 
+/// A live entry VM.
+#[derive(Clone, Debug)]
+pub(crate) struct EntryVm {
+    /// Hash of its name.
+    pub hash: u64,
+    pub region: RegionName,
+}
+
 /// State of the entry VM and the network that the choice of a server depends on.
 pub(crate) struct Context<'a> {
     /// Region and failure domain of this entry VM.
@@ -66,8 +75,8 @@
     pub evacuated: &'a [DomainName],
     /// Round-trip time to each region, milliseconds.
     pub rtts_ms: &'a BTreeMap<RegionName, f64>,
-    /// Hashes of the names of the live entry VMs; empty until they are known.
-    pub entries: &'a [u64],
+    /// Live entry VMs, this one included; empty until they are known.
+    pub entries: &'a [EntryVm],
     /// Hash of the name of this entry VM.
     pub own_hash: u64,
     /// See [`crate::Settings::cold_factor`].
@@ -145,15 +154,46 @@
         self.mean_response_ms += (took_ms - self.mean_response_ms) * MEAN_RESPONSE_WEIGHT;
     }
 
-    /// Moves the shares of regions towards the target for the present slots.
+    /// Moves the shares of regions towards the target for the present slots, and divides
+    /// the limits of servers anew.
     pub fn advance(&mut self, context: &Context<'_>, now: Instant) {
+        let target = shares::target(&context.place.region, &self.slots(context));
+        self.shares.advance(&target, now);
+        self.divide_limits(context, now);
+    }
+
+    /// Returns the slots of each region.
+    fn slots(&self, context: &Context<'_>) -> BTreeMap<RegionName, f64> {
         let mut slots: BTreeMap<RegionName, f64> = BTreeMap::new();
         for server in self.servers.values().filter(|s| is_open(s, context)) {
             let region = server.place.region.clone();
             *slots.entry(region).or_default() += f64::from(server.slots);
         }
-        let target = shares::target(&context.place.region, &slots);
-        self.shares.advance(&target, now);
+        slots
+    }
+
+    /// Computes this entry VM's part of the limit of each server that names one, and ends
+    /// limits that were not named for long.
+    pub fn divide_limits(&mut self, context: &Context<'_>, now: Instant) {
+        if self.servers.values().all(|server| server.limit.is_none()) {
+            return;
+        }
+        let slots = self.slots(context);
+        for server in self.servers.values_mut() {
+            let Some(limit) = &mut server.limit else {
+                continue;
+            };
+            if limit.is_expired(now) {
+                log::info!(
+                    target: "belief", server:% = server.name, born_ms = server.born_ms;
+                    "limit of a server ended, as nobody has seen it named"
+                );
+                server.limit = None;
+                continue;
+            }
+            let total = limit.total();
+            limit.quota = limit_quota(total, &server.place.region, server.hash, &slots, context);
+        }
     }
 
     /// Chooses the server for a request and counts the request as in flight there.
@@ -163,7 +203,12 @@
         context: &Context<'_>,
         now: Instant,
     ) -> Result<Choice, Full> {
-        let preference_order = self.preference_order(request, context, now);
+        let mut preference_order = self.preference_order(request, context, now);
+        // Ranks stay, so that no further servers have to learn the object.
+        preference_order.retain(|(_, name)| {
+            let server = self.servers.get(name);
+            server.is_some_and(|server| server.barred_for(now).is_zero())
+        });
         let first_region_usable = preference_order
             .iter()
             .any(|(rank, _)| *rank < LOCAL_CANDIDATES);
@@ -233,7 +278,7 @@
     }
 
     /// Returns when one of the servers is expected to take requests again: after the
-    /// average response time, or when the first one no longer wants to be left alone.
+    /// average response time, or when the first one that limits its requests allows one.
     fn retry_after_ms<'a>(
         &'a self,
         servers: impl Iterator<Item = &'a Server>,
@@ -242,9 +287,9 @@
         let busy_ms = self
             .mean_response_ms
             .clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
-        let held_off = servers.map(|s| s.held_off_for(now)).min();
-        let held_off_ms = held_off.map_or(0, world::unit::as_ms);
-        let retry_ms = whole_ms(busy_ms).max(held_off_ms);
+        let barred = servers.map(|s| s.barred_for(now)).min();
+        let barred_ms = barred.map_or(0, world::unit::as_ms);
+        let retry_ms = whole_ms(busy_ms).max(barred_ms);
         u32::try_from(retry_ms).unwrap_or(u32::MAX)
     }
 
@@ -297,8 +342,7 @@
         let allowed = |server: &&Server| {
             let region = &server.place.region;
             let reachable = !server.is_backing_off(now) && !request.tried.contains(&server.name);
-            let wants = is_open(server, context) && !server.is_held_off(now);
-            request.allows(region) && wants && reachable
+            request.allows(region) && is_open(server, context) && reachable
         };
         let open = self.servers.values().filter(allowed);
         let Some(object) = request.object else {
@@ -366,7 +410,7 @@
         let Some(server) = self.servers.get_mut(name) else {
             return false;
         };
-        if server.is_cold(now) && !server.cold_sends.has_capacity(quota, now) {
+        if server.is_cold(now) && !server.cold_sends.has_capacity(quota, cold::WINDOW, now) {
             return false;
         }
         server.load(now) < f64::from(server.slots) * MAX_LOAD_PER_SLOT
@@ -382,17 +426,53 @@
             return 0;
         }
         let total = terms.cold_per_s * context.cold_factor + context.cold_slack;
-        let score = |entry: u64| hash::mix(server.hash, entry, Purpose::Cold);
-        let own_score = score(context.own_hash);
-        let rank = context
-            .entries
-            .iter()
-            .filter(|e| score(**e) > own_score)
-            .count();
+        let rank = rank(context.entries.iter(), server.hash, context.own_hash);
         cold::quota(total, context.entries.len(), rank)
     }
 }
 
+/// Returns the position of this entry VM among `entries`, in an order that differs by
+/// server.
+fn rank<'a>(entries: impl Iterator<Item = &'a EntryVm>, server_hash: u64, own_hash: u64) -> usize {
+    let score = |entry: u64| hash::mix(server_hash, entry, Purpose::Cold);
+    let own_score = score(own_hash);
+    entries.filter(|e| score(e.hash) > own_score).count()
+}
+
+/// Returns this entry VM's part of `total` requests to a server. Entry VMs get parts by
+/// the share of their region's requests that falls to the server's region.
+fn limit_quota(
+    total: f64,
+    region: &RegionName,
+    server_hash: u64,
+    slots: &BTreeMap<RegionName, f64>,
+    context: &Context<'_>,
+) -> usize {
+    let mut regions: BTreeMap<&RegionName, RegionDemand> = BTreeMap::new();
+    for entry in context.entries {
+        let demand = regions.entry(&entry.region).or_insert_with(|| {
+            let share = shares::target(&entry.region, slots).get(region).copied();
+            RegionDemand {
+                entry_vms: 0,
+                weight: share.unwrap_or(0.0).max(OVERFLOW.share),
+            }
+        });
+        demand.entry_vms += 1;
+    }
+    let own_region = &context.place.region;
+    let Some(own) = regions.get(own_region).copied() else {
+        return 0;
+    };
+    let demands: Vec<RegionDemand> = regions.into_values().collect();
+    let near = context.entries.iter().filter(|e| e.region == *own_region);
+    limit::quota(
+        total,
+        &demands,
+        own,
+        rank(near, server_hash, context.own_hash),
+    )
+}
+
 /// Returns whether the server may get new requests.
 fn is_open(server: &Server, context: &Context<'_>) -> bool {
     !server.leaving && !context.evacuated.contains(&server.place.domain)
--- a/crates/discovery/src/finding.rs
+++ b/crates/discovery/src/finding.rs
@@ -5,13 +5,36 @@
 
 use balancer::{Fingerprint, Mark};
 use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+use world::ServerName;
 use world::unit::ms;
 
+/// Time after which a limit no longer counts that no response has named again.
+pub const LIMIT_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Time after which entry VMs tell each other anew that a server names its limit: half
+/// of the lifetime, so that one report may be late.
+const LIMIT_RENEWAL: Duration = Duration::from_secs(5);
+
 /// What an entry VM has learned.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Finding {
     /// A request ran on a backend server when that crashed.
     Crash(Mark),
+    /// A backend server names a limit, or no longer does.
+    Limit(ServerLimit),
+}
+
+/// The limit that a backend server names.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServerLimit {
+    /// Name of the server.
+    pub server: ServerName,
+    /// Start time of its incarnation, Unix milliseconds.
+    pub born_ms: u64,
+    /// Requests that it takes from all entry VMs together, in 1,000 s; `None` if it names
+    /// no limit.
+    pub per_1000_s: Option<u64>,
 }
 
 /// Identifies a finding. A later finding with the same key replaces an earlier one.
@@ -19,6 +42,8 @@
 pub enum FindingKey {
     /// A request and the crash in which it ran.
     Crash(Fingerprint, u64),
+    /// A backend server and the start time of its incarnation.
+    Limit(ServerName, u64),
 }
 
 impl Finding {
@@ -27,21 +52,26 @@
     pub fn key(&self) -> FindingKey {
         match self {
             Self::Crash(mark) => FindingKey::Crash(mark.fingerprint, mark.crash_id),
+            Self::Limit(limit) => FindingKey::Limit(limit.server.clone(), limit.born_ms),
         }
     }
 
-    /// Returns the rank of the finding among those with the same key; the greater one
-    /// is newer.
-    pub(crate) fn order(&self) -> (u64, u64) {
-        match self {
-            Self::Crash(mark) => (u64::from(mark.convicted), 0),
-        }
-    }
-
-    /// Returns whether this finding is newer than `known`, which has the same key.
+    /// Returns whether this finding, made at `at`, counts instead of `known`, which has
+    /// the same key and was made at `known_at`.
     #[must_use]
-    pub fn replaces(&self, known: &Self) -> bool {
-        self.order() > known.order()
+    pub fn replaces(&self, at: Instant, known: &Self, known_at: Instant) -> bool {
+        match (self, known) {
+            (Self::Crash(mark), Self::Crash(known)) => mark.convicted && !known.convicted,
+            (Self::Limit(limit), Self::Limit(known)) => {
+                let newer = at.saturating_duration_since(known_at);
+                if limit.per_1000_s == known.per_1000_s {
+                    limit.per_1000_s.is_some() && newer >= LIMIT_RENEWAL
+                } else {
+                    !newer.is_zero()
+                }
+            }
+            _ => false,
+        }
     }
 
     /// Returns for how long the finding counts.
@@ -49,6 +79,7 @@
     pub fn lifetime(&self) -> Duration {
         match self {
             Self::Crash(mark) => ms(mark.left_ms),
+            Self::Limit(_) => LIMIT_LIFETIME,
         }
     }
 
@@ -60,6 +91,7 @@
                 let left_ms = mark.left_ms.checked_sub(age_ms).filter(|left| *left > 0)?;
                 Some(Self::Crash(Mark { left_ms, ..*mark }))
             }
+            Self::Limit(_) => (ms(age_ms) < LIMIT_LIFETIME).then(|| self.clone()),
         }
     }
 }
--- a/crates/discovery/src/registry.rs
+++ b/crates/discovery/src/registry.rs
@@ -95,7 +95,7 @@
         let announced_at = now.checked_sub(ms(age_ms)).unwrap_or(now);
         let key = row.key();
         let known = self.rows.get(&key);
-        if known.is_some_and(|record| !self.is_newer(&row, record, now)) {
+        if known.is_some_and(|record| !self.is_newer(&row, announced_at, record, now)) {
             return false;
         }
         if let Row::Server(server) = &row
@@ -124,7 +124,10 @@
     /// Returns whether `row` replaces the recorded one: if it is newer, or if it is
     /// of another incarnation of a machine whose announcements have stopped. A new
     /// incarnation may have the earlier start time if the machine's clock was set back.
-    fn is_newer(&self, row: &Row, record: &Record, now: Instant) -> bool {
+    fn is_newer(&self, row: &Row, at: Instant, record: &Record, now: Instant) -> bool {
+        if let (Row::Finding(finding), Row::Finding(known)) = (row, &record.row) {
+            return finding.replaces(at, known, record.announced_at);
+        }
         if row.order() > record.row.order() {
             return true;
         }
--- a/crates/discovery/src/row.rs
+++ b/crates/discovery/src/row.rs
@@ -120,7 +120,8 @@
             Self::Server(row) => (row.born_ms, row.sequence),
             Self::Entry(row) => (row.born_ms, row.sequence),
             Self::Control(row) => (row.born_ms, row.sequence),
-            Self::Finding(finding) => finding.order(),
+            // Findings are compared by Finding::replaces instead.
+            Self::Finding(_) => (0, 0),
         }
     }
 
--- a/crates/discovery/tests/registry.rs
+++ b/crates/discovery/tests/registry.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use balancer::{Fingerprint, Mark};
-use discovery::{EntryRow, Finding, Registry, RegistrySettings, Row, ServerRow, SubstituteScope};
+use discovery::{
+    EntryRow, Finding, Registry, RegistrySettings, Row, ServerLimit, ServerRow, SubstituteScope,
+};
 use tokio::time::Instant;
 use world::{DomainName, MachineName, Place, RegionName, ServerName, ServiceName};
 
@@ -233,8 +235,36 @@
     }
     registry.sweep(now);
     let findings = registry.findings(now);
-    let oldest = findings.iter().map(|finding| match finding {
-        Finding::Crash(mark) => mark.fingerprint.0,
+    let oldest = findings.iter().filter_map(|finding| match finding {
+        Finding::Crash(mark) => Some(mark.fingerprint.0),
+        Finding::Limit(_) => None,
     });
     assert_eq!((findings.len(), oldest.min()), (4_096, Some(904)));
 }
+
+/// Entry VMs see responses at different times; what the newest one said counts.
+#[test]
+fn the_limit_that_was_seen_last_counts() {
+    let (mut registry, now) = (Registry::default(), Instant::now());
+    let at = |ms| now + Duration::from_millis(ms);
+    let limit = |per_1000_s| {
+        Row::Finding(Finding::Limit(ServerLimit {
+            server: ServerName::new("s1").unwrap(),
+            born_ms: 1,
+            per_1000_s,
+        }))
+    };
+    let cases = [
+        ("named", limit(Some(9_000)), 0, 0),
+        ("named again soon", limit(Some(9_000)), 0, 1_000),
+        ("named again later", limit(Some(9_000)), 0, 5_000),
+        ("another, seen before", limit(Some(7_000)), 500, 5_400),
+        ("another", limit(Some(7_000)), 500, 6_000),
+        ("none", limit(None), 0, 7_000),
+        ("none again", limit(None), 0, 13_000),
+        ("named, seen before", limit(Some(7_000)), 8_000, 14_000),
+    ];
+    let rows = cases
+        .map(|(case, row, age_ms, ms)| format!("{case}: {}", registry.merge(row, age_ms, at(ms))));
+    insta::assert_snapshot!(rows.join("\n"));
+}
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -6,6 +6,7 @@
 use affinity::{AttemptEnd, Choice};
 use balancer::Fingerprint;
 use bytes::{Bytes, BytesMut};
+use discovery::{Finding, ServerLimit};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderMap;
@@ -209,7 +210,16 @@
     if let Some(hold_off_ms) = reply.hold_off_ms {
         balancer.hold_off(choice, ms(hold_off_ms), now);
     }
-    balancer.apply_limit(choice, reply.limit_per_1000_s, sent_at, now);
+    let ended = balancer.apply_limit(choice, reply.limit_per_1000_s, sent_at, now);
+    drop(balancer);
+    if ended || reply.limit_per_1000_s.is_some() {
+        let limit = Finding::Limit(ServerLimit {
+            server: choice.server.clone(),
+            born_ms: choice.born_ms,
+            per_1000_s: reply.limit_per_1000_s,
+        });
+        state.findings.report(limit, now);
+    }
 }
 
 /// Classifies a complete or streamed response by its head.
--- a/crates/forward/src/findings.rs
+++ b/crates/forward/src/findings.rs
@@ -7,7 +7,7 @@
 use discovery::{Finding, FindingKey, Row, Update};
 use tokio::sync::watch;
 use tokio::time::Instant;
-use world::unit::as_ms;
+use world::unit::{as_ms, ms};
 use world::{LockRank, RankedMutex};
 
 /// Most findings in one message: a few kilobytes. The rest follows in the next one.
@@ -52,7 +52,7 @@
     fn insert(&mut self, finding: Finding, at: Instant, position: u64) -> bool {
         let key = finding.key();
         let known = self.rows.get(&key);
-        let is_new = known.is_none_or(|known| finding.replaces(&known.finding));
+        let is_new = known.is_none_or(|known| finding.replaces(at, &known.finding, known.at));
         if !is_new || (known.is_none() && self.rows.len() >= KEPT_MAX) {
             return false;
         }
@@ -81,16 +81,17 @@
     /// now if it is newer than the known one.
     pub fn receive(&self, finding: &Finding, age_ms: u64, now: Instant) -> Option<Finding> {
         let aged = finding.aged(age_ms)?;
+        let made_at = now.checked_sub(ms(age_ms)).unwrap_or(now);
         let mut table = self.table.lock();
-        table.insert(aged.clone(), now, 0).then_some(aged)
+        table.insert(finding.clone(), made_at, 0).then_some(aged)
     }
 
     /// Whether this entry VM itself saw a crash in which the request ran.
     pub fn saw_crash_of(&self, fingerprint: Fingerprint) -> bool {
         let table = self.table.lock();
         table.rows.iter().any(|(key, known)| {
-            let FindingKey::Crash(request, _) = key;
-            *request == fingerprint && known.position > 0
+            let ran = matches!(key, FindingKey::Crash(request, _) if *request == fingerprint);
+            ran && known.position > 0
         })
     }
 
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use discovery::{Finding, Row, Update};
+use discovery::{Finding, Row, ServerLimit, Update};
 use peers::{ClientOnly, Identity, Links};
 use rand::seq::IndexedRandom;
 use routed_control::{FeedRequest, FeedResponse, Reader};
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, sleep};
 use wire::Body;
 use wire::body::Feed;
-use world::unit::as_ms;
+use world::unit::{as_ms, ms};
 use world::{LockRank, RankedMutex, RegionName, Result};
 
 use crate::dialect::Dialect;
@@ -221,11 +221,6 @@
     /// Applies catalog rows and registry updates of a feed response.
     fn apply_feed(&self, response: FeedResponse) {
         let now = Instant::now();
-        // Before the catalog, with which a new entry VM becomes ready.
-        self.apply_findings(&response.findings, response.whole);
-        if !response.catalog.is_empty() {
-            self.state.merge_catalog(response.catalog);
-        }
         let mut controls = Vec::new();
         let mut balancer = self.state.balancer.lock();
         if response.whole && response.settled {
@@ -249,12 +244,19 @@
                     balancer.remove_server(&row.name, row.born_ms);
                 }
                 Row::Server(row) => balancer.apply_announcement(&row, age_ms, now),
-                Row::Entry(row) => balancer.update_entry_vm(&row.name, lost, now),
+                Row::Entry(row) => {
+                    balancer.update_entry_vm(&row.name, &row.place.region, lost, now);
+                }
                 Row::Control(row) if !lost => controls.push(row),
                 Row::Control(_) | Row::Finding(_) => {}
             }
         }
         drop(balancer);
+        self.apply_findings(&response.findings, response.whole);
+        // Last, since a new entry VM becomes ready with the catalog.
+        if !response.catalog.is_empty() {
+            self.state.merge_catalog(response.catalog);
+        }
         if controls.is_empty() {
             return;
         }
@@ -283,6 +285,16 @@
                 continue;
             };
             match &finding {
+                Finding::Limit(limit) => {
+                    let named_at = now.checked_sub(ms(update.age_ms)).unwrap_or(now);
+                    let ServerLimit {
+                        server,
+                        born_ms,
+                        per_1000_s,
+                    } = limit;
+                    let mut balancer = self.state.balancer.lock();
+                    balancer.set_limit(server, *born_ms, *per_1000_s, named_at, now);
+                }
                 Finding::Crash(mark) => {
                     let confirmed = crashes.merge(mark);
                     // Two crashes known to different entry VMs: one that saw a crash
