Send nothing to servers that say in a response that they leave

What backend servers saw (rule DRAIN, new): a server that leaves says so in all its responses, but an entry VM went on sending until the news came from a control VM; for a server that can't reach one, until it was gone.

Cause: the header was not read.

Change: the entry VM that gets such a response marks the incarnation as leaving, as its announcement would, and tells the others by a finding.

What a server says of further requests it wants is one struct now, Restrictions.

--- a/crates/affinity/src/affinity_balancer.rs
+++ b/crates/affinity/src/affinity_balancer.rs
@@ -146,8 +146,9 @@
         *known = born_ms.max(*known);
         if let Some(row) = self.server_mut(server)
             && row.born_ms <= born_ms
+            && !std::mem::replace(&mut row.leaving, true)
         {
-            row.leaving = true;
+            log::info!(target: "belief", server:% = server, born_ms; "server is leaving");
         }
     }
 
--- a/crates/discovery/src/finding.rs
+++ b/crates/discovery/src/finding.rs
@@ -12,6 +12,9 @@
 /// Time after which a limit no longer counts that no response has named again.
 pub const LIMIT_LIFETIME: Duration = Duration::from_secs(10);
 
+/// Time for which a departure counts: longer than a server takes to leave.
+const LEAVING_LIFETIME: Duration = Duration::from_secs(600);
+
 /// Time after which entry VMs tell each other anew that a server names its limit: half
 /// of the lifetime, so that one report may be late.
 const LIMIT_RENEWAL: Duration = Duration::from_secs(5);
@@ -23,6 +26,17 @@
     Crash(Mark),
     /// A backend server names a limit, or no longer does.
     Limit(ServerLimit),
+    /// A backend server says in its responses that it is leaving.
+    Leaving(Departure),
+}
+
+/// A backend server that is leaving.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Departure {
+    /// Name of the server.
+    pub server: ServerName,
+    /// Start time of its incarnation, Unix milliseconds.
+    pub born_ms: u64,
 }
 
 /// The limit that a backend server names.
@@ -44,6 +58,8 @@
     Crash(Fingerprint, u64),
     /// A backend server and the start time of its incarnation.
     Limit(ServerName, u64),
+    /// A backend server and the start time of its incarnation.
+    Leaving(ServerName, u64),
 }
 
 impl Finding {
@@ -53,6 +69,9 @@
         match self {
             Self::Crash(mark) => FindingKey::Crash(mark.fingerprint, mark.crash_id),
             Self::Limit(limit) => FindingKey::Limit(limit.server.clone(), limit.born_ms),
+            Self::Leaving(departure) => {
+                FindingKey::Leaving(departure.server.clone(), departure.born_ms)
+            }
         }
     }
 
@@ -80,6 +99,7 @@
         match self {
             Self::Crash(mark) => ms(mark.left_ms),
             Self::Limit(_) => LIMIT_LIFETIME,
+            Self::Leaving(_) => LEAVING_LIFETIME,
         }
     }
 
@@ -91,7 +111,9 @@
                 let left_ms = mark.left_ms.checked_sub(age_ms).filter(|left| *left > 0)?;
                 Some(Self::Crash(Mark { left_ms, ..*mark }))
             }
-            Self::Limit(_) => (ms(age_ms) < LIMIT_LIFETIME).then(|| self.clone()),
+            Self::Limit(_) | Self::Leaving(_) => {
+                (ms(age_ms) < self.lifetime()).then(|| self.clone())
+            }
         }
     }
 }
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -10,6 +10,6 @@
 pub mod registry;
 pub mod row;
 
-pub use finding::{Finding, FindingKey, ServerLimit};
+pub use finding::{Departure, Finding, FindingKey, ServerLimit};
 pub use registry::{Registry, RegistrySettings, SubstituteScope};
 pub use row::{ControlRow, EntryRow, Key, Row, ServerRow, Update};
--- a/crates/discovery/tests/registry.rs
+++ b/crates/discovery/tests/registry.rs
@@ -237,7 +237,7 @@
     let findings = registry.findings(now);
     let oldest = findings.iter().filter_map(|finding| match finding {
         Finding::Crash(mark) => Some(mark.fingerprint.0),
-        Finding::Limit(_) => None,
+        Finding::Limit(_) | Finding::Leaving(_) => None,
     });
     assert_eq!((findings.len(), oldest.min()), (4_096, Some(904)));
 }
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -6,7 +6,7 @@
 use affinity::{AttemptEnd, Choice};
 use balancer::Fingerprint;
 use bytes::{Bytes, BytesMut};
-use discovery::{Finding, ServerLimit};
+use discovery::{Departure, Finding, ServerLimit};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderMap;
@@ -17,7 +17,7 @@
 
 use crate::body::{ResponseBody, Stream};
 use crate::connection::{Connection, Failure};
-use crate::dialect::{AttemptHead, Dialect, RequestHead, ResponseHead};
+use crate::dialect::{AttemptHead, Dialect, RequestHead, ResponseHead, Restrictions};
 use crate::large::Reservation;
 use crate::pace::SHORT_MAX_BYTES;
 use crate::state::State;
@@ -170,7 +170,7 @@
         return AttemptResult::MayHaveRun(AttemptEnd::Broken);
     }
     if !reply.replaced {
-        apply_response(state, choice, &reply, sent_at);
+        apply_restrictions(state, choice, reply.restrictions, sent_at);
     }
     connection.idle_max = reply.idle_ms.map(ms);
     let closes = closes_connection(&head);
@@ -197,26 +197,40 @@
     classify(head, body, &reply)
 }
 
-/// Applies what the chosen server says of itself in a response to a request that was
-/// sent at `sent_at`.
-fn apply_response<D: Dialect>(
+/// Applies what the chosen server says in a response to a request that was sent at
+/// `sent_at`, and tells other entry VMs.
+fn apply_restrictions<D: Dialect>(
     state: &State<D>,
     choice: &Choice,
-    reply: &ResponseHead,
+    restrictions: Restrictions,
     sent_at: Instant,
 ) {
     let now = Instant::now();
+    let Restrictions {
+        leaving,
+        hold_off_ms,
+        limit_per_1000_s,
+    } = restrictions;
+    let (server, born_ms) = (&choice.server, choice.born_ms);
     let mut balancer = state.balancer.lock();
-    if let Some(hold_off_ms) = reply.hold_off_ms {
+    if let Some(hold_off_ms) = hold_off_ms {
         balancer.hold_off(choice, ms(hold_off_ms), now);
     }
-    let ended = balancer.apply_limit(choice, reply.limit_per_1000_s, sent_at, now);
+    if leaving {
+        balancer.mark_leaving(server, born_ms);
+    }
+    let limit_ended = balancer.apply_limit(choice, limit_per_1000_s, sent_at, now);
     drop(balancer);
-    if ended || reply.limit_per_1000_s.is_some() {
+    if leaving {
+        let server = server.clone();
+        let departure = Finding::Leaving(Departure { server, born_ms });
+        state.findings.report(departure, now);
+    }
+    if limit_ended || limit_per_1000_s.is_some() {
         let limit = Finding::Limit(ServerLimit {
-            server: choice.server.clone(),
-            born_ms: choice.born_ms,
-            per_1000_s: reply.limit_per_1000_s,
+            server: server.clone(),
+            born_ms,
+            per_1000_s: limit_per_1000_s,
         });
         state.findings.report(limit, now);
     }
--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -50,6 +50,15 @@
     pub report: Option<Report>,
     /// How long the connection may stay idle, milliseconds.
     pub idle_ms: Option<u64>,
+    /// Which further requests the server wants.
+    pub restrictions: Restrictions,
+}
+
+/// What a backend server says in a response of the further requests that it wants.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Restrictions {
+    /// Whether the server drains or shuts down, so that it wants no new requests.
+    pub leaving: bool,
     /// Time for which the server wants no requests of this entry VM, milliseconds.
     pub hold_off_ms: Option<u64>,
     /// Requests that the server takes from all entry VMs together, in 1,000 s.
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use discovery::{Finding, Row, ServerLimit, Update};
+use discovery::{Departure, Finding, Row, ServerLimit, Update};
 use peers::{ClientOnly, Identity, Links};
 use rand::seq::IndexedRandom;
 use routed_control::{FeedRequest, FeedResponse, Reader};
@@ -295,6 +295,9 @@
                     let mut balancer = self.state.balancer.lock();
                     balancer.set_limit(server, *born_ms, *per_1000_s, named_at, now);
                 }
+                Finding::Leaving(Departure { server, born_ms }) => {
+                    self.state.balancer.lock().mark_leaving(server, *born_ms);
+                }
                 Finding::Crash(mark) => {
                     let confirmed = crashes.merge(mark);
                     // Two crashes known to different entry VMs: one that saw a crash
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -25,7 +25,7 @@
 pub mod suspension;
 
 pub use body::ResponseBody;
-pub use dialect::{AttemptHead, Dialect, RequestHead, ResponseHead};
+pub use dialect::{AttemptHead, Dialect, RequestHead, ResponseHead, Restrictions};
 pub use follow::ControlFollower;
 pub use metrics::Metrics;
 pub use state::{Settings, State};
--- a/crates/forward/tests/attempts.rs
+++ b/crates/forward/tests/attempts.rs
@@ -146,3 +146,20 @@
         ]
     );
 }
+
+/// A server may be cut off from the control VMs when it leaves, so that its responses
+/// alone tell of it (DRAIN).
+#[tokio::test]
+async fn a_server_that_says_in_a_response_that_it_leaves_gets_nothing_more() {
+    let leaving = stub_server("s1", &[Behaviour::Leaving]).await;
+    let entry = entry(&items(), &[&leaving]).await;
+    let mut answers = Vec::new();
+    for id in ["r1", "r2"] {
+        answers.push(get(&entry, "/safe/1", id).await);
+    }
+    let overloaded = "HTTP/1.1 503 Service Unavailable overloaded";
+    assert_eq!(answers, ["HTTP/1.1 200 OK good", overloaded]);
+    assert_eq!(received_counts(&[&leaving]), [1]);
+    let (reported, _) = entry.state.findings.unreported(0, Instant::now());
+    insta::assert_debug_snapshot!(reported[0].row);
+}
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -9,7 +9,9 @@
 use bytes::Bytes;
 use catalog::{Body, Fact, Item};
 use discovery::ServerRow;
-use forward::{AttemptHead, Dialect, RequestHead, ResponseHead, Settings, State, front};
+use forward::{
+    AttemptHead, Dialect, RequestHead, ResponseHead, Restrictions, Settings, State, front,
+};
 use hyper::Response;
 use hyper::header::{HOST, HeaderMap};
 use hyper::http::{request, response};
@@ -31,7 +33,9 @@
     Silent,
     /// Reports that it did not run the request.
     Shed,
-    /// The same, and wants no requests for this time, milliseconds.
+    /// Responds and reports that it is leaving.
+    Leaving,
+    /// Reports that it did not run the request, and wants no requests for this time, milliseconds.
     HoldOff(u64),
     /// Closes the connection after reading the request.
     Reset,
@@ -114,6 +118,7 @@
             Behaviour::Shed => format!(
                 "HTTP/1.1 503 Full\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
             ),
+            Behaviour::Leaving => answer(&id).replace("x-seal: 1", "x-seal: 1\r\nx-leaving: 1"),
             Behaviour::HoldOff(time_ms) => format!(
                 "HTTP/1.1 503 Full\r\nx-id: {id}\r\nx-not-run: 1\r\nx-hold-off: {time_ms}\r\ncontent-length: 0\r\n\r\n"
             ),
@@ -172,7 +177,11 @@
             id: text(&head.headers, "x-id").map(Into::into),
             not_run: head.headers.contains_key("x-not-run"),
             sealed: head.headers.contains_key("x-seal"),
-            hold_off_ms: text(&head.headers, "x-hold-off").and_then(|t| t.parse().ok()),
+            restrictions: Restrictions {
+                leaving: head.headers.contains_key("x-leaving"),
+                hold_off_ms: text(&head.headers, "x-hold-off").and_then(|t| t.parse().ok()),
+                limit_per_1000_s: None,
+            },
             ..ResponseHead::default()
         }
     }
