Add up weights of a route without overflow

They are added as floating-point numbers now.

Evidence: a_route_with_huge_weights_is_served failed with 'attempt to add with overflow' before.

--- a/crates/forward/src/retry.rs
+++ b/crates/forward/src/retry.rs
@@ -298,8 +298,8 @@
 
 /// Chooses a service of the route by weight, from a hash of the request id.
 fn choose_service<'a>(route: &'a Route, call: &RequestHead) -> &'a ServiceName {
-    let total: u32 = route.parts.iter().map(|part| part.weight).sum();
-    let mut point = hash::unit(hash::name(&call.id), Purpose::Part) * f64::from(total);
+    let total: f64 = route.parts.iter().map(|part| f64::from(part.weight)).sum();
+    let mut point = hash::unit(hash::name(&call.id), Purpose::Part) * total;
     for part in &route.parts {
         if point < f64::from(part.weight) {
             return &part.service;
--- a/crates/forward/tests/attempts.rs
+++ b/crates/forward/tests/attempts.rs
@@ -163,3 +163,19 @@
     let (reported, _) = entry.state.findings.unreported(0, Instant::now());
     insta::assert_debug_snapshot!(reported[0].row);
 }
+
+/// Weights of an operator whose sum does not fit their type must not end the process.
+#[tokio::test]
+async fn a_route_with_huge_weights_is_served() {
+    let server = stub_server("s1", &[Behaviour::Answer(0)]).await;
+    let mut items = items();
+    for item in &mut items {
+        if let catalog::Body::Route(route) = &mut item.body {
+            let route = std::sync::Arc::make_mut(route);
+            route.parts[0].weight = u32::MAX;
+            route.parts.push(route.parts[0].clone());
+        }
+    }
+    let entry = entry(&items, &[&server]).await;
+    assert_eq!(get(&entry, "/safe/1", "r1").await, "HTTP/1.1 200 OK good");
+}
