--- a/crates/forward/tests/attempts.rs
+++ b/crates/forward/tests/attempts.rs
@@ -179,3 +179,28 @@
     let entry = entry(&items, &[&server]).await;
     assert_eq!(get(&entry, "/safe/1", "r1").await, "HTTP/1.1 200 OK good");
 }
+
+/// A faulty server writes the refusal of an earlier request once more on a kept
+/// connection. The next request may be running, so its client must not be told that it
+/// is not, nor may it run elsewhere (issue 19: REFUSED, TWICE).
+#[rstest]
+#[case::in_its_place("in_its_place", [Behaviour::Shed, Behaviour::Repeat])]
+#[case::without_id("without_id", [Behaviour::ShedWithoutId, Behaviour::Repeat])]
+#[case::at_once("at_once", [Behaviour::ShedTwice, Behaviour::Answer(0)])]
+#[tokio::test]
+async fn a_repeated_refusal_is_not_taken_for_the_next_request(
+    #[case] name: &str,
+    #[case] behaviours: [Behaviour; 2],
+) {
+    let server = stub_server("s1", &behaviours).await;
+    let entry = entry(&items(), &[&server]).await;
+    let mut rows = Vec::new();
+    for id in ["r1", "r2"] {
+        let answer = get(&entry, "/once/1", id).await;
+        rows.push(format!(
+            "{answer}; received {:?}",
+            received_counts(&[&server])
+        ));
+    }
+    insta::assert_snapshot!(format!("repeated_refusal_{name}"), rows.join("\n"));
+}
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -33,6 +33,12 @@
     Silent,
     /// Reports that it did not run the request.
     Shed,
+    /// The same, without the id of the request.
+    ShedWithoutId,
+    /// Reports twice that it did not run the request.
+    ShedTwice,
+    /// Runs the request, but writes the response before once more.
+    Repeat,
     /// Responds and reports that it is leaving.
     Leaving,
     /// Reports that it did not run the request, and wants no requests for this time, milliseconds.
@@ -89,6 +95,7 @@
 }
 
 async fn serve_stub(mut stream: TcpStream, behaviours: Vec<Behaviour>, received: ReceivedRequests) {
+    let mut before = String::new();
     while let Some(head) = read_head(&mut stream).await {
         let field = |name: &str| {
             let mut lines = head.lines().filter_map(|line| line.split_once(": "));
@@ -115,9 +122,10 @@
                 sleep(Duration::from_secs(60)).await;
                 return;
             }
-            Behaviour::Shed => format!(
-                "HTTP/1.1 503 Full\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
-            ),
+            Behaviour::Shed => shed(&id),
+            Behaviour::ShedWithoutId => shed(&id).replace(&format!("x-id: {id}\r\n"), ""),
+            Behaviour::ShedTwice => shed(&id).repeat(2),
+            Behaviour::Repeat => before.clone(),
             Behaviour::Leaving => answer(&id).replace("x-seal: 1", "x-seal: 1\r\nx-leaving: 1"),
             Behaviour::HoldOff(time_ms) => format!(
                 "HTTP/1.1 503 Full\r\nx-id: {id}\r\nx-not-run: 1\r\nx-hold-off: {time_ms}\r\ncontent-length: 0\r\n\r\n"
@@ -138,9 +146,15 @@
         if stream.write_all(text.as_bytes()).await.is_err() {
             return;
         }
+        before = text;
     }
 }
 
+/// Response that reports that the request was not run.
+fn shed(id: &str) -> String {
+    format!("HTTP/1.1 503 Full\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n")
+}
+
 async fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
