Bound responses of backend servers that do not end

Three cases had no bound here:

- Interim responses (100 Continue) in place of a head were read for as long as the request's time lasted: 132,750,000 bytes in a second.
The bytes read until a head is complete are counted now, 128 KiB at most, and the read buffer of a connection grows to 64 KiB instead of 400.
- A refusal's body was read to its end, so the client of a request that had not run was told so at its deadline, if at all.
Of such a body 16 KiB and 50 ms are awaited, only to keep the connection.
- A body beyond 1 MiB is forwarded as it arrives and had no end in time.
It is cut off at the client's deadline, as incomplete.

A body in small chunks was also read a chunk a millisecond, as the timer rounds up even a pause that is over; it is not waited for then.

Heads with lines, a line or junk without end were bounded by the HTTP library already.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -26,6 +26,13 @@
 /// forwarded, so that a truncated response can be retried.
 const WHOLE_MAX_BYTES: usize = 1 << 20;
 
+/// Most bytes that are read of the body of a refusal, to keep its connection. The client
+/// does not get the body.
+const REFUSAL_MAX_BYTES: usize = 16 * 1024;
+
+/// Longest time for which that body is awaited.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Connect timeout beyond twice the round-trip time to the server.
 const CONNECT_MARGIN: Duration = Duration::from_millis(200);
 
@@ -49,6 +56,8 @@
     pub body: Bytes,
     /// Identifies equal requests to a backend server, whichever client sends them.
     pub fingerprint: Fingerprint,
+    /// When the client no longer waits; the route's timeout if it gave no deadline.
+    pub client_deadline: Instant,
     /// Whether the request is idempotent, so that it may run twice.
     pub idempotent: bool,
     /// Link capacity reserved for the response, if the route is a download.
@@ -174,15 +183,21 @@
     }
     connection.idle_max = reply.idle_ms.map(ms);
     let closes = closes_connection(&head);
-    let received =
-        match timeout_at(deadline, read_body(state, outgoing, &mut connection, body)).await {
-            Ok(Some(received)) => received,
-            Ok(None) => {
-                state.crashes.record_broken(choice, outgoing.fingerprint);
-                return incomplete_response(&reply, AttemptEnd::Broken);
-            }
-            Err(_) => return incomplete_response(&reply, AttemptEnd::Silent),
-        };
+    let (max_bytes, read_until) = if reply.not_run || reply.replaced {
+        let bound = Instant::now() + REFUSAL_BODY_TIMEOUT;
+        (REFUSAL_MAX_BYTES, deadline.min(bound))
+    } else {
+        (WHOLE_MAX_BYTES, deadline)
+    };
+    let reading = read_body(state, outgoing, &mut connection, body, max_bytes);
+    let received = match timeout_at(read_until, reading).await {
+        Ok(Some(received)) => received,
+        Ok(None) => {
+            state.crashes.record_broken(choice, outgoing.fingerprint);
+            return incomplete_response(&reply, AttemptEnd::Broken);
+        }
+        Err(_) => return incomplete_response(&reply, AttemptEnd::Silent),
+    };
     let body = match received {
         ReadBody::Whole(bytes) => {
             if !closes && connection.is_usable().await {
@@ -191,7 +206,8 @@
             ResponseBody::paced(bytes, &state.pace_out)
         }
         ReadBody::Partial(start, rest) => {
-            ResponseBody::Stream(Box::new(Stream::new(start, rest, connection)))
+            let end = outgoing.client_deadline;
+            ResponseBody::Stream(Box::new(Stream::new(start, rest, connection, end)))
         }
     };
     classify(head, body, &reply)
@@ -325,19 +341,20 @@
     Partial(Bytes, Incoming),
 }
 
-/// Reads a body up to [`WHOLE_MAX_BYTES`]; `None` when it was truncated.
+/// Reads a body up to `max_bytes`; `None` when it was truncated.
 async fn read_body<D: Dialect>(
     state: &State<D>,
     outgoing: &OutgoingRequest,
     connection: &mut Connection,
     mut body: Incoming,
+    max_bytes: usize,
 ) -> Option<ReadBody> {
     let mut whole = BytesMut::new();
     if let Some(len) = body.size_hint().exact() {
-        whole.reserve(usize::try_from(len).unwrap_or(0).min(WHOLE_MAX_BYTES));
+        whole.reserve(usize::try_from(len).unwrap_or(0).min(max_bytes));
     }
     loop {
-        if whole.len() > WHOLE_MAX_BYTES {
+        if whole.len() > max_bytes {
             return Some(ReadBody::Partial(whole.freeze(), body));
         }
         let next = poll_fn(|cx| connection.poll_body(&mut body, cx)).await;
@@ -354,7 +371,9 @@
                     let reserved = outgoing.reserved.as_ref();
                     let uncovered = reserved.map_or(data.len(), |r| r.consume(data.len()));
                     let next_at = state.pace_in.count(uncovered);
-                    if uncovered > 0 && whole.len() > SHORT_MAX_BYTES {
+                    let paced = uncovered > 0 && whole.len() > SHORT_MAX_BYTES;
+                    // A sleep until a past time lasts until the timer's next millisecond.
+                    if paced && next_at > Instant::now() {
                         sleep_until(next_at).await;
                     }
                 }
--- a/crates/forward/src/body.rs
+++ b/crates/forward/src/body.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
-use tokio::time::{Sleep, sleep_until};
+use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::connection::Connection;
 use crate::pace::{CHUNK_BYTES, Pacer, SHORT_MAX_BYTES};
@@ -50,13 +50,27 @@
     start_len: u64,
     rest: Incoming,
     connection: Connection,
+    /// When the client no longer waits.
+    end: Pin<Box<Sleep>>,
+}
+
+/// Why a body ended early.
+#[derive(Debug, thiserror::Error)]
+pub enum BodyError {
+    /// The response of the backend server broke off.
+    #[error("the response broke off: {0}")]
+    Broken(#[from] hyper::Error),
+    /// The response had not ended when the client's deadline passed.
+    #[error("the response did not end before the client's deadline")]
+    Late,
 }
 
 impl Stream {
-    /// Forwards `start`, then `rest` as it arrives over `connection`.
+    /// Forwards `start`, then `rest` as it arrives over `connection` until `deadline`.
     #[must_use]
-    pub fn new(start: Bytes, rest: Incoming, connection: Connection) -> Self {
+    pub fn new(start: Bytes, rest: Incoming, connection: Connection, deadline: Instant) -> Self {
         Self {
+            end: Box::pin(sleep_until(deadline)),
             start_len: start.len() as u64,
             start: (!start.is_empty()).then_some(start),
             rest,
@@ -92,12 +106,12 @@
 
 impl Body for ResponseBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
             Self::Paced(paced) => paced
@@ -108,9 +122,16 @@
                     return Poll::Ready(Some(Ok(Frame::data(start))));
                 }
                 let Stream {
-                    rest, connection, ..
+                    rest,
+                    connection,
+                    end,
+                    ..
                 } = &mut **stream;
-                connection.poll_body(rest, cx)
+                if end.as_mut().poll(cx).is_ready() {
+                    return Poll::Ready(Some(Err(BodyError::Late)));
+                }
+                let frame = connection.poll_body(rest, cx);
+                frame.map(|frame| frame.map(|frame| Ok(frame?)))
             }
         }
     }
--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -21,10 +21,19 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+use crate::head_limit::{HeadLimit, HeadLimited};
+
 /// TCP user timeout, after which unacknowledged bytes close the connection:
 /// several round trips between regions, and less than clients wait.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Size to which the read buffer of a connection may grow: that of the largest heads, so
+/// that a head without end takes no more memory.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Transport of a connection.
+type Io = TokioIo<HeadLimited<TcpStream>>;
+
 /// Why a request got no response over a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Failure {
@@ -44,7 +53,8 @@
 /// A connection that carries one request at a time.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    io: http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    io: http1::Connection<Io, Full<Bytes>>,
+    head_limit: HeadLimit,
     ended: bool,
     /// When the last response was read completely.
     pub idle_since: Instant,
@@ -75,11 +85,17 @@
         if let Err(error) = configured {
             log::debug!(target: "forward", addr:% = addr, error:% = error; "could not set socket options");
         }
-        let opened = http1::handshake(TokioIo::new(stream)).await;
+        let stream = HeadLimited::new(stream);
+        let head_limit = stream.limit();
+        let opened = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, io) = opened.map_err(|_| Failure::ConnectFailed)?;
         Ok(Self {
             sender,
             io,
+            head_limit,
             ended: false,
             idle_since: Instant::now(),
             idle_max: None,
@@ -109,6 +125,7 @@
         if !self.is_usable().await {
             return Err(Failure::Unsent);
         }
+        self.head_limit.start();
         let mut response = pin!(self.sender.send_request(request));
         let io = &mut self.io;
         let ended = &mut self.ended;
@@ -116,7 +133,9 @@
             drive(io, ended, cx);
             response.as_mut().poll(cx)
         });
-        sent.await.map_err(|error| {
+        let received = sent.await;
+        self.head_limit.end();
+        received.map_err(|error| {
             if error.is_canceled() {
                 return Failure::Unsent;
             }
@@ -142,11 +161,7 @@
 
 /// Polls the connection's I/O, unless it has ended: a finished future must not
 /// be polled again.
-fn drive(
-    io: &mut http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
-    ended: &mut bool,
-    cx: &mut Context<'_>,
-) {
+fn drive(io: &mut http1::Connection<Io, Full<Bytes>>, ended: &mut bool, cx: &mut Context<'_>) {
     if !*ended && Pin::new(io).poll(cx).is_ready() {
         *ended = true;
     }
--- a/crates/forward/src/handler.rs
+++ b/crates/forward/src/handler.rs
@@ -74,6 +74,7 @@
         target: target.unwrap_or_default(),
         headers: answer::forwarded_headers(head.headers),
         body,
+        client_deadline: arrived_at + ms(deadline_ms),
         idempotent: route.kind.is_repeatable(),
         reserved,
     };
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod follow;
 pub mod front;
 pub mod handler;
+pub mod head_limit;
 pub mod large;
 pub mod metrics;
 pub mod pace;
--- a/crates/forward/tests/attempts.rs
+++ b/crates/forward/tests/attempts.rs
@@ -103,6 +103,7 @@
         name: world::ServerName::new("s1").expect("name"),
         addr: listener.local_addr().expect("address"),
         received: common::ReceivedRequests::default(),
+        endless_bytes: std::sync::Arc::default(),
     };
     let entry = entry(&items(), &[&server]).await;
     let mut client = TcpStream::connect(entry.addr).await.expect("connected");
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -39,6 +39,9 @@
     ShedTwice,
     /// Runs the request, but writes the response before once more.
     Repeat,
+    /// Sends the first text, in which ID stands for the request's id, and then the second
+    /// one until the caller closes the connection.
+    Endless(&'static str, &'static str),
     /// Responds and reports that it is leaving.
     Leaving,
     /// Reports that it did not run the request, and wants no requests for this time, milliseconds.
@@ -67,6 +70,8 @@
     pub addr: SocketAddr,
     /// Requests read so far.
     pub received: ReceivedRequests,
+    /// Bytes of endless responses that callers took before they closed.
+    pub endless_bytes: Arc<Mutex<Option<usize>>>,
 }
 
 /// Starts a stub server that applies `behaviours` to its requests in order, and
@@ -76,6 +81,8 @@
     let addr = listener.local_addr().expect("address");
     let received = ReceivedRequests::default();
     let (behaviours, recorded) = (behaviours.to_vec(), Arc::clone(&received));
+    let endless_bytes = Arc::default();
+    let endless = Arc::clone(&endless_bytes);
     tokio::spawn(async move {
         loop {
             let (stream, _) = listener.accept().await.expect("accepted");
@@ -83,6 +90,7 @@
                 stream,
                 behaviours.clone(),
                 Arc::clone(&recorded),
+                Arc::clone(&endless),
             ));
         }
     });
@@ -91,10 +99,16 @@
         name,
         addr,
         received,
+        endless_bytes,
     }
 }
 
-async fn serve_stub(mut stream: TcpStream, behaviours: Vec<Behaviour>, received: ReceivedRequests) {
+async fn serve_stub(
+    mut stream: TcpStream,
+    behaviours: Vec<Behaviour>,
+    received: ReceivedRequests,
+    endless_bytes: Arc<Mutex<Option<usize>>>,
+) {
     let mut before = String::new();
     while let Some(head) = read_head(&mut stream).await {
         let field = |name: &str| {
@@ -126,6 +140,11 @@
             Behaviour::ShedWithoutId => shed(&id).replace(&format!("x-id: {id}\r\n"), ""),
             Behaviour::ShedTwice => shed(&id).repeat(2),
             Behaviour::Repeat => before.clone(),
+            Behaviour::Endless(start, repeated) => {
+                let taken = write_endlessly(&mut stream, &start.replace("ID", &id), repeated).await;
+                *endless_bytes.lock().expect("bytes") = Some(taken);
+                return;
+            }
             Behaviour::Leaving => answer(&id).replace("x-seal: 1", "x-seal: 1\r\nx-leaving: 1"),
             Behaviour::HoldOff(time_ms) => format!(
                 "HTTP/1.1 503 Full\r\nx-id: {id}\r\nx-not-run: 1\r\nx-hold-off: {time_ms}\r\ncontent-length: 0\r\n\r\n"
@@ -150,6 +169,18 @@
     }
 }
 
+/// Writes `start` and then `repeated` until the caller closes the connection; returns
+/// the number of bytes.
+async fn write_endlessly(stream: &mut TcpStream, start: &str, repeated: &str) -> usize {
+    let chunk = repeated.repeat(1_000);
+    let (mut taken, mut next) = (0, start);
+    while stream.write_all(next.as_bytes()).await.is_ok() {
+        taken += next.len();
+        next = &chunk;
+    }
+    taken
+}
+
 /// Response that reports that the request was not run.
 fn shed(id: &str) -> String {
     format!("HTTP/1.1 503 Full\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n")
@@ -364,7 +395,7 @@
 
 /// Sends a request on a new connection; returns the whole response, or `None` when the
 /// connection was reset.
-async fn get_text(entry: &Entry, path: &str, id: &str) -> Option<String> {
+pub async fn get_text(entry: &Entry, path: &str, id: &str) -> Option<String> {
     let mut stream = TcpStream::connect(entry.addr).await.expect("connected");
     let request = format!(
         "GET {path} HTTP/1.1\r\nhost: site.example\r\nx-id: {id}\r\nx-left: 5000\r\nconnection: close\r\n\r\n"
