Give an entry VM that just started no burst of retries

With all entry VMs restarted under failing servers, each could spend the site's slack at once (rule BUDGET).

In the first 2 s, until all others are known, there is no burst; 15% of the requests may still be retried, and the burst fills up from there.

--- a/crates/affinity/src/affinity_balancer.rs
+++ b/crates/affinity/src/affinity_balancer.rs
@@ -56,6 +56,8 @@
     entries: HashMap<MachineName, (RegionName, Option<Instant>)>,
     /// The same entry VMs by the hash of their names.
     entry_vms: Vec<EntryVm>,
+    /// Whether [`ENTRY_DISCOVERY_TIME`] had passed when the tables were last advanced.
+    others_known: bool,
 }
 
 impl AffinityBalancer {
@@ -80,6 +82,7 @@
                 hash: own_hash,
                 region,
             }],
+            others_known: false,
             settings,
         }
     }
@@ -217,6 +220,7 @@
             lost_at.is_none_or(|at| now.saturating_duration_since(at) < LOST_ENTRY_RETENTION)
         };
         self.entries.retain(|_, (_, lost_at)| is_retained(lost_at));
+        self.others_known = is_discovery_over(self.started_at, now);
         self.refresh_entries();
         let context = context(
             &self.settings,
@@ -412,9 +416,16 @@
         self.service_or_insert(service).budget.spend()
     }
 
+    /// Divides the retry budgets among the known entry VMs. While some may not be known
+    /// there is no burst to divide, and a restart does not bring it back.
     fn divide_budgets(&mut self) {
         let entries = self.entry_vms.len();
-        let (ratio, slack) = (self.settings.retry_ratio, self.settings.retry_slack);
+        let ratio = self.settings.retry_ratio;
+        let slack = if self.others_known {
+            self.settings.retry_slack
+        } else {
+            0.0
+        };
         for service in self.services.values_mut() {
             service.set_budget(ratio, slack, entries);
         }
@@ -439,13 +450,18 @@
 
 /// Returns the entry VMs, or none while some may not be known yet.
 fn known_entry_vms(entry_vms: &[EntryVm], started_at: Instant, now: Instant) -> &[EntryVm] {
-    if now.saturating_duration_since(started_at) >= ENTRY_DISCOVERY_TIME {
+    if is_discovery_over(started_at, now) {
         entry_vms
     } else {
         &[]
     }
 }
 
+/// Returns whether all other entry VMs are known to one that started at `started_at`.
+fn is_discovery_over(started_at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(started_at) >= ENTRY_DISCOVERY_TIME
+}
+
 fn context<'a>(
     settings: &'a Settings,
     own_hash: u64,
--- a/crates/affinity/tests/affinity_balancer.rs
+++ b/crates/affinity/tests/affinity_balancer.rs
@@ -462,3 +462,28 @@
     ));
     insta::assert_debug_snapshot!(rows);
 }
+
+/// Retries that a service's budget allows right after `now`.
+fn retries_allowed(balancer: &mut AffinityBalancer, now: Instant) -> usize {
+    balancer.advance(now);
+    let service = service();
+    (0..100)
+        .take_while(|_| balancer.try_spend_retry(&service))
+        .count()
+}
+
+/// An entry VM that has just started knows no other, and may have spent its part of the
+/// site's retries before it was restarted (BUDGET).
+#[test]
+fn an_entry_vm_that_just_started_does_not_hold_the_retries_of_all() {
+    let start = Instant::now();
+    let mut balancer = balancer_started_at(start, start);
+    let later = start + Duration::from_secs(3);
+    let mut rows = vec![("alone, just started", retries_allowed(&mut balancer, start))];
+    rows.push(("alone, 3 s later", retries_allowed(&mut balancer, later)));
+    for _ in 0..100 {
+        balancer.record_first_attempt(&service());
+    }
+    rows.push(("after 100 requests", retries_allowed(&mut balancer, later)));
+    insta::assert_debug_snapshot!(rows);
+}
