Count requests to a limited server in a window of 4 s

With 2 s, an entry VM's part of a limit was often one request, and a request that came a little too early went elsewhere or was refused while the limit was not used up.

--- a/crates/affinity/src/limit.rs
+++ b/crates/affinity/src/limit.rs
@@ -12,7 +12,7 @@
 
 /// Shortest window in which requests are counted. A shorter one would leave an entry VM
 /// with fractions of requests, a longer one lets it send more of them at once.
-const WINDOW_MIN: Duration = Duration::from_secs(2);
+const WINDOW_MIN: Duration = Duration::from_secs(4);
 
 /// Fewest requests in a window: with a lower limit the window is longer.
 const WINDOW_REQUESTS_MIN: u64 = 4;
