Bound response heads without end on waxwingd's path too

The same cause as on routed sites: interim responses in place of a head were read for as long as a request's time lasted. The connections of waxwingd's entry VM use the same bound now, forward::head_limit.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -204,12 +204,7 @@
     attempt_request: &AttemptRequest<'_>,
 ) -> Result<Response<Incoming>, (Outcome, Failure)> {
     let request = attempt_request.to_request(state, open_attempt)?;
-    let mut failed = match open_attempt
-        .connection
-        .sender
-        .try_send_request(request)
-        .await
-    {
+    let mut failed = match open_attempt.connection.send(request).await {
         Ok(response) => return Ok(response),
         Err(error) => error,
     };
@@ -220,11 +215,7 @@
     open_attempt.connection = open(state, &open_attempt.destination, &open_attempt.peer)
         .await
         .map_err(|error| (Outcome::ConnectFailed, Failure::not_run(error)))?;
-    let sent = open_attempt
-        .connection
-        .sender
-        .try_send_request(request)
-        .await;
+    let sent = open_attempt.connection.send(request).await;
     sent.map_err(|mut error| {
         let unsent = error.take_message().is_some();
         send_failure(open_attempt, error.error(), unsent)
--- a/crates/entry/src/operations/dispatch.rs
+++ b/crates/entry/src/operations/dispatch.rs
@@ -100,11 +100,7 @@
         mut open_attempt: OpenAttempt,
         request: Request<Full<Bytes>>,
     ) -> DispatchResult<BufferedResponse> {
-        let sent = open_attempt
-            .connection
-            .sender
-            .try_send_request(request)
-            .await;
+        let sent = open_attempt.connection.send(request).await;
         let response = match sent {
             Ok(response) => response,
             Err(mut error) => {
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -10,8 +10,13 @@
 
 use balancer::{ConnectionAge, ConnectionPermit, ConnectionTrust, ConnectionTrustSettings, Work};
 use bytes::Bytes;
+use forward::connection::READ_BUFFER_BYTES;
+use forward::head_limit::{HeadLimit, HeadLimited};
 use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
@@ -37,8 +42,8 @@
 
 /// An HTTP/1 connection.
 pub struct Connection {
-    /// Sends a request.
-    pub sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     /// When it was opened, and when its last byte was received.
     pub age: ConnectionAge,
     /// Whether it has carried a request before.
@@ -46,6 +51,22 @@
     _permit: Option<ConnectionPermit>,
 }
 
+impl Connection {
+    /// Sends a request and waits for the head of its response.
+    ///
+    /// # Errors
+    /// When the connection fails; the error returns a request that was not sent.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.head_limit.start();
+        let response = self.sender.try_send_request(request).await;
+        self.head_limit.end();
+        response
+    }
+}
+
 /// Idle connections by peer.
 pub struct Pool {
     table: RankedMutex<Table>,
@@ -97,7 +118,11 @@
             .map_err(|_| failed("no connection in time".into()))?
             .map_err(|error| failed(error.to_string()))?;
         let _ = stream.set_nodelay(true);
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        let stream = HeadLimited::new(stream);
+        let head_limit = stream.limit();
+        let (mut sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| failed(error.to_string()))?;
         tokio::spawn(connection);
@@ -108,6 +133,7 @@
         let now = Instant::now();
         Ok(Connection {
             sender,
+            head_limit,
             age: ConnectionAge {
                 opened_at: now,
                 last_byte_at: now,
--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -29,7 +29,7 @@
 
 /// Size to which the read buffer of a connection may grow: that of the largest heads, so
 /// that a head without end takes no more memory.
-const READ_BUFFER_BYTES: usize = 64 * 1024;
+pub const READ_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Transport of a connection.
 type Io = TokioIo<HeadLimited<TcpStream>>;
