Repeat no request that broke again once a server has crashed under it

A request with more than two attempts was marked by the check of the first server only after its retry had started, and the mark that it had when it arrived decided on further ones. The present mark decides now. A client that is refused while an entry VM has no part of a limit is told 10 s at most, the time after which the limit ends unless it is named again.

Evidence: tests of forward and affinity pass; no test has a route with more than two attempts whose servers crash, as the moment of the check is not fixed.

--- a/crates/affinity/src/limit.rs
+++ b/crates/affinity/src/limit.rs
@@ -52,9 +52,11 @@
         per_1000_s / 1_000.0 * self.window().as_secs_f64()
     }
 
-    /// Returns the time until this entry VM may send another request.
+    /// Returns the time until this entry VM may send another request: at most until the
+    /// limit ends, if it has no part of it.
     pub fn wait(&self, now: Instant) -> Duration {
-        self.sends.wait(self.quota, self.window(), now)
+        let wait = self.sends.wait(self.quota, self.window(), now);
+        wait.min(LIMIT_LIFETIME)
     }
 
     /// Records a request.
--- a/crates/forward/src/retry.rs
+++ b/crates/forward/src/retry.rs
@@ -36,8 +36,8 @@
     unsent_count: usize,
     /// End of the last attempt after which the request may have run.
     uncertain_end: Option<AttemptEnd>,
-    /// Whether the request is suspected of crashing backend servers.
-    suspected: bool,
+    /// Whether the request may be suspected of crashing backend servers.
+    may_be_marked: bool,
 }
 
 impl<'a, D: Dialect> RetryLoop<'a, D> {
@@ -57,7 +57,7 @@
             attempt_count: 0,
             unsent_count: 0,
             uncertain_end: None,
-            suspected: state.crashes.verdict(outgoing.fingerprint) == Verdict::Alone,
+            may_be_marked: state.crashes.verdict(outgoing.fingerprint) != Verdict::Clean,
         }
     }
 
@@ -74,7 +74,7 @@
             let end = self.finish_attempt(attempt, &result);
             let server_response = match result {
                 AttemptResult::Answered(server_response) if end == AttemptEnd::Answered => {
-                    if self.suspected {
+                    if self.may_be_marked {
                         self.state.crashes.clear(self.outgoing.fingerprint);
                     }
                     return Ok(*server_response);
@@ -93,16 +93,14 @@
         }
     }
 
-    /// Whether another attempt can do no harm: the request may run again, and is not
-    /// about to crash another server.
+    /// Whether another attempt can do no harm: the request may run again, and its last
+    /// attempt was not a further one that broke since a server crashed under it.
     fn may_repeat(&self, end: AttemptEnd) -> bool {
         if not_run(end) {
             return true;
         }
-        let verdict = || self.state.crashes.verdict(self.outgoing.fingerprint);
-        let crashes = end == AttemptEnd::Broken
-            && (self.suspected || matches!(verdict(), Verdict::Refuse { .. }));
-        self.outgoing.idempotent && !crashes
+        let is_marked = || self.state.crashes.verdict(self.outgoing.fingerprint) != Verdict::Clean;
+        self.outgoing.idempotent && !(end == AttemptEnd::Broken && is_marked())
     }
 
     /// Releases the slot of an attempt and counts how it ended.
@@ -123,6 +121,7 @@
         let server = attempt.choice.server.clone();
         attempt.end(end, self.outgoing);
         if let AttemptResult::MayHaveRun(end) = result {
+            self.may_be_marked |= *end == AttemptEnd::Broken;
             self.uncertain_end = Some(*end);
         }
         if reached(end) {
