Split what backend servers say of further requests into files of its own

affinity/restrictions.rs, limit_division.rs and retry_after.rs, and forward/restrictions.rs, moved out of files that had grown.

- News that a server names no limit, older than a response that named it, no longer ends the limit for a moment.
- The log line of a crash names eight requests at most, as in other lines.

--- a/crates/affinity/src/affinity_balancer.rs
+++ b/crates/affinity/src/affinity_balancer.rs
@@ -8,7 +8,6 @@
 use discovery::ServerRow;
 use steer::hash;
 use tokio::time::Instant;
-use world::unit::as_ms;
 use world::{DomainName, MachineName, RegionName, ServerName, ServiceName, ServiceTerms};
 
 use crate::request::{AttemptEnd, Choice, Full, Report, Request};
@@ -37,25 +36,25 @@
 
 /// Retry time returned for a service without known servers, milliseconds: about
 /// a fifth of the time between two announcements.
-const RETRY_AFTER_UNKNOWN_MS: u32 = 300;
+pub(crate) const RETRY_AFTER_UNKNOWN_MS: u32 = 300;
 
 /// Chooses a backend server for each request by object affinity and load.
 #[derive(Clone, Debug)]
 pub struct AffinityBalancer {
-    settings: Settings,
-    own_hash: u64,
-    started_at: Instant,
-    services: HashMap<ServiceName, Service>,
-    service_of: HashMap<ServerName, ServiceName>,
+    pub(crate) settings: Settings,
+    pub(crate) own_hash: u64,
+    pub(crate) started_at: Instant,
+    pub(crate) services: HashMap<ServiceName, Service>,
+    pub(crate) service_of: HashMap<ServerName, ServiceName>,
     /// Start time of the newest leaving incarnation of each server, Unix milliseconds.
-    leaving: HashMap<ServerName, u64>,
-    evacuated: Vec<DomainName>,
+    pub(crate) leaving: HashMap<ServerName, u64>,
+    pub(crate) evacuated: Vec<DomainName>,
     /// Average round-trip time to each region, milliseconds.
-    rtts_ms: BTreeMap<RegionName, f64>,
+    pub(crate) rtts_ms: BTreeMap<RegionName, f64>,
     /// Known entry VMs with their regions, and when each was reported lost.
     entries: HashMap<MachineName, (RegionName, Option<Instant>)>,
     /// The same entry VMs by the hash of their names.
-    entry_vms: Vec<EntryVm>,
+    pub(crate) entry_vms: Vec<EntryVm>,
     /// Whether [`ENTRY_DISCOVERY_TIME`] had passed when the tables were last advanced.
     others_known: bool,
 }
@@ -143,18 +142,6 @@
         services.flat_map(|s| s.servers.values().map(|s| (&s.name, s.born_ms)))
     }
 
-    /// Stops new requests to an incarnation of a server and to earlier ones.
-    pub fn mark_leaving(&mut self, server: &ServerName, born_ms: u64) {
-        let known = self.leaving.entry(server.clone()).or_insert(born_ms);
-        *known = born_ms.max(*known);
-        if let Some(row) = self.server_mut(server)
-            && row.born_ms <= born_ms
-            && !std::mem::replace(&mut row.leaving, true)
-        {
-            log::info!(target: "belief", server:% = server, born_ms; "server is leaving");
-        }
-    }
-
     /// Sets the failure domains that get no requests.
     pub fn set_evacuated(&mut self, domains: &[DomainName], now: Instant) {
         let before = std::mem::replace(&mut self.evacuated, domains.to_vec());
@@ -260,95 +247,6 @@
         service.choose(request, &context, now)
     }
 
-    /// Sends no requests to the chosen server for a time that it has named, from now on.
-    pub fn hold_off(&mut self, choice: &Choice, time: Duration, now: Instant) {
-        let service = self.services.get_mut(&choice.service);
-        if let Some(server) = service.and_then(|s| s.servers.get_mut(&choice.server))
-            && server.born_ms == choice.born_ms
-            && server.hold_off(time, now)
-        {
-            log::info!(
-                target: "belief", server:% = server.name, born_ms = server.born_ms,
-                time_ms = as_ms(time);
-                "server wants no requests for a while"
-            );
-        }
-    }
-
-    /// Records whether the chosen server named a limit in its response to a request that
-    /// was sent at `sent_at`. Returns whether the response ended the server's limit: it
-    /// names none, and the request was sent since the limit was last named.
-    pub fn apply_limit(
-        &mut self,
-        choice: &Choice,
-        per_1000_s: Option<u64>,
-        sent_at: Instant,
-        now: Instant,
-    ) -> bool {
-        let Some(server) = self.server_mut(&choice.server) else {
-            return false;
-        };
-        let known = server.limit.as_ref();
-        let Some(known) = known.filter(|_| per_1000_s.is_none()) else {
-            if per_1000_s.is_some() {
-                self.set_limit(&choice.server, choice.born_ms, per_1000_s, now, now);
-            }
-            return false;
-        };
-        sent_at >= known.named_at && self.set_limit(&choice.server, choice.born_ms, None, now, now)
-    }
-
-    /// Sets or ends the limit that an incarnation of a server named at `named_at`, to this
-    /// or another entry VM. Returns whether that is a change.
-    pub fn set_limit(
-        &mut self,
-        server: &ServerName,
-        born_ms: u64,
-        per_1000_s: Option<u64>,
-        named_at: Instant,
-        now: Instant,
-    ) -> bool {
-        let Some(row) = self.server_mut(server).filter(|s| s.born_ms == born_ms) else {
-            return false;
-        };
-        if !row.set_limit(per_1000_s, named_at) {
-            return false;
-        }
-        log::info!(
-            target: "belief", server:% = server, born_ms, per_1000_s:? = per_1000_s;
-            "server named another limit"
-        );
-        let context = context(
-            &self.settings,
-            self.own_hash,
-            &self.evacuated,
-            &self.rtts_ms,
-            known_entry_vms(&self.entry_vms, self.started_at, now),
-        );
-        let service = self.service_of.get(server);
-        if let Some(service) = service.and_then(|name| self.services.get_mut(name)) {
-            service.divide_limits(&context, now);
-        }
-        true
-    }
-
-    /// Returns when a request that servers of the service have turned away should come
-    /// back, milliseconds.
-    #[must_use]
-    pub fn retry_after_shed_ms(&self, service: &ServiceName, now: Instant) -> u32 {
-        let context = context(
-            &self.settings,
-            self.own_hash,
-            &self.evacuated,
-            &self.rtts_ms,
-            known_entry_vms(&self.entry_vms, self.started_at, now),
-        );
-        let service = self.services.get(service);
-        service.map_or(RETRY_AFTER_UNKNOWN_MS, |s| {
-            s.retry_after_shed_ms(&context, now)
-        })
-    }
-
     /// Returns whether the chosen server still runs and may get new requests.
     #[must_use]
     pub fn is_open(&self, choice: &Choice, now: Instant) -> bool {
@@ -442,14 +340,18 @@
             .or_insert_with(Service::new)
     }
 
-    fn server_mut(&mut self, server: &ServerName) -> Option<&mut Server> {
+    pub(crate) fn server_mut(&mut self, server: &ServerName) -> Option<&mut Server> {
         let service = self.service_of.get(server)?;
         self.services.get_mut(service)?.servers.get_mut(server)
     }
 }
 
 /// Returns the entry VMs, or none while some may not be known yet.
-fn known_entry_vms(entry_vms: &[EntryVm], started_at: Instant, now: Instant) -> &[EntryVm] {
+pub(crate) fn known_entry_vms(
+    entry_vms: &[EntryVm],
+    started_at: Instant,
+    now: Instant,
+) -> &[EntryVm] {
     if is_discovery_over(started_at, now) {
         entry_vms
     } else {
@@ -462,7 +364,7 @@
     now.saturating_duration_since(started_at) >= ENTRY_DISCOVERY_TIME
 }
 
-fn context<'a>(
+pub(crate) fn context<'a>(
     settings: &'a Settings,
     own_hash: u64,
     evacuated: &'a [DomainName],
--- a/crates/affinity/src/server.rs
+++ b/crates/affinity/src/server.rs
@@ -160,9 +160,14 @@
         now < self.held_off_until
     }
 
-    /// Sets or ends the limit that the server names. Returns whether that is a change.
+    /// Sets or ends the limit that the server named, or no longer did, at `named_at`.
+    /// Returns whether that is a change.
     pub(crate) fn set_limit(&mut self, per_1000_s: Option<u64>, named_at: Instant) -> bool {
         let known = self.limit.as_ref().map(|limit| limit.per_1000_s);
+        let is_old = |limit: &Limit| named_at < limit.named_at;
+        if per_1000_s.is_none() && self.limit.as_ref().is_some_and(is_old) {
+            return false;
+        }
         match (&mut self.limit, per_1000_s) {
             (Some(limit), Some(per_1000_s)) => {
                 limit.per_1000_s = per_1000_s;
--- a/crates/affinity/src/service.rs
+++ b/crates/affinity/src/service.rs
@@ -13,7 +13,6 @@
 
 use crate::cold;
 use crate::estimate::{self, CostInputs};
-use crate::limit::{self, RegionDemand};
 use crate::request::{Choice, Full, Request};
 use crate::server::Server;
 use crate::shares::{self, Shares};
@@ -48,17 +47,11 @@
 /// Budget of requests that leave the region of their object while that region
 /// has servers: with the shift of shares by up to 10% in two seconds, the total
 /// stays under 15%, the most that may change region in two seconds.
-const OVERFLOW: BudgetSettings = BudgetSettings {
+pub(crate) const OVERFLOW: BudgetSettings = BudgetSettings {
     share: 0.04,
     burst: 3.0,
 };
 
-/// Lower bound of the retry time in [`Full`], milliseconds.
-const RETRY_AFTER_MIN_MS: f64 = 50.0;
-
-/// Upper bound of the retry time in [`Full`], milliseconds.
-const RETRY_AFTER_MAX_MS: f64 = 1_000.0;
-
 /// A live entry VM.
 #[derive(Clone, Debug)]
 pub(crate) struct EntryVm {
@@ -96,7 +89,7 @@
     overflow: Budget,
     pub shares: Shares,
     /// Moving average of the response time, milliseconds.
-    mean_response_ms: f64,
+    pub mean_response_ms: f64,
 }
 
 /// A server with its position in the preference order and its cost.
@@ -163,7 +156,7 @@
     }
 
     /// Returns the slots of each region.
-    fn slots(&self, context: &Context<'_>) -> BTreeMap<RegionName, f64> {
+    pub(crate) fn slots(&self, context: &Context<'_>) -> BTreeMap<RegionName, f64> {
         let mut slots: BTreeMap<RegionName, f64> = BTreeMap::new();
         for server in self.servers.values().filter(|s| is_open(s, context)) {
             let region = server.place.region.clone();
@@ -172,41 +165,6 @@
         slots
     }
 
-    /// Computes this entry VM's part of the limit of each server that names one, and ends
-    /// limits that were not named for long.
-    pub fn divide_limits(&mut self, context: &Context<'_>, now: Instant) {
-        if self.servers.values().all(|server| server.limit.is_none()) {
-            return;
-        }
-        let slots = self.slots(context);
-        let own_region = &context.place.region;
-        let near = context.entries.iter().filter(|e| e.region == *own_region);
-        let near: Vec<&EntryVm> = near.collect();
-        let mut demands: BTreeMap<RegionName, Option<Demand>> = BTreeMap::new();
-        for server in self.servers.values_mut() {
-            let Some(limit) = &mut server.limit else {
-                continue;
-            };
-            if limit.is_expired(now) {
-                log::info!(
-                    target: "belief", server:% = server.name, born_ms = server.born_ms;
-                    "limit of a server ended, as nobody has seen it named"
-                );
-                server.limit = None;
-                continue;
-            }
-            let region = &server.place.region;
-            if !demands.contains_key(region) {
-                demands.insert(region.clone(), Demand::new(region, &slots, context));
-            }
-            let demand = demands.get(region).and_then(Option::as_ref);
-            limit.quota = demand.map_or(0, |demand| {
-                let rank = rank(near.iter().copied(), server.hash, context.own_hash);
-                limit::quota(limit.total(), &demand.regions, demand.own, rank)
-            });
-        }
-    }
-
     /// Chooses the server for a request and counts the request as in flight there.
     pub fn choose(
         &mut self,
@@ -272,45 +230,6 @@
         cheapest(false)
     }
 
-    /// Returns the error for a request that no server can take.
-    fn full(
-        &self,
-        candidates: usize,
-        request: &Request<'_>,
-        context: &Context<'_>,
-        now: Instant,
-    ) -> Full {
-        let open = self.servers.values().filter(|s| is_open(s, context));
-        let allowed = open.filter(|s| request.allows(&s.place.region));
-        Full {
-            retry_after_ms: self.retry_after_ms(allowed, now),
-            candidates,
-        }
-    }
-
-    /// Returns when one of the servers is expected to take requests again: after the
-    /// average response time, or when the first one that limits its requests allows one.
-    fn retry_after_ms<'a>(
-        &'a self,
-        servers: impl Iterator<Item = &'a Server>,
-        now: Instant,
-    ) -> u32 {
-        let busy_ms = self
-            .mean_response_ms
-            .clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
-        let barred = servers.map(|s| s.barred_for(now)).min();
-        let barred_ms = barred.map_or(0, world::unit::as_ms);
-        let retry_ms = whole_ms(busy_ms).max(barred_ms);
-        u32::try_from(retry_ms).unwrap_or(u32::MAX)
-    }
-
-    /// Returns when a request that servers have just turned away should come back,
-    /// milliseconds.
-    pub fn retry_after_shed_ms(&self, context: &Context<'_>, now: Instant) -> u32 {
-        let open = self.servers.values().filter(|s| is_open(s, context));
-        self.retry_after_ms(open, now)
-    }
-
     /// Returns the servers of `usable` that have free capacity, with their costs.
     fn candidates(
         &mut self,
@@ -444,46 +363,18 @@
 
 /// Returns the position of this entry VM among `entries`, in an order that differs by
 /// server.
-fn rank<'a>(entries: impl Iterator<Item = &'a EntryVm>, server_hash: u64, own_hash: u64) -> usize {
+pub(crate) fn rank<'a>(
+    entries: impl Iterator<Item = &'a EntryVm>,
+    server_hash: u64,
+    own_hash: u64,
+) -> usize {
     let score = |entry: u64| hash::mix(server_hash, entry, Purpose::Cold);
     let own_score = score(own_hash);
     entries.filter(|e| score(e.hash) > own_score).count()
 }
 
-/// How the requests to the servers of one region divide among the entry VMs.
-struct Demand {
-    regions: Vec<RegionDemand>,
-    /// The own region's.
-    own: RegionDemand,
-}
-
-impl Demand {
-    /// Weighs the entry VMs of each region by the share of that region's requests that
-    /// falls to `region`. `None` while the entry VMs are not known.
-    fn new(
-        region: &RegionName,
-        slots: &BTreeMap<RegionName, f64>,
-        context: &Context<'_>,
-    ) -> Option<Self> {
-        let mut entry_vms: BTreeMap<&RegionName, usize> = BTreeMap::new();
-        for entry in context.entries {
-            *entry_vms.entry(&entry.region).or_default() += 1;
-        }
-        let demand = |(home, entry_vms): (&&RegionName, &usize)| {
-            let share = shares::target(home, slots).get(region).copied();
-            RegionDemand {
-                entry_vms: *entry_vms,
-                weight: share.unwrap_or(0.0).max(OVERFLOW.share),
-            }
-        };
-        let regions = entry_vms.iter().map(demand).collect();
-        let own = entry_vms.get_key_value(&context.place.region).map(demand)?;
-        Some(Self { regions, own })
-    }
-}
-
 /// Returns whether the server may get new requests.
-fn is_open(server: &Server, context: &Context<'_>) -> bool {
+pub(crate) fn is_open(server: &Server, context: &Context<'_>) -> bool {
     !server.leaving && !context.evacuated.contains(&server.place.domain)
 }
 
@@ -493,7 +384,7 @@
 }
 
 /// Converts a time that is not negative to whole milliseconds.
-fn whole_ms(time_ms: f64) -> u64 {
+pub(crate) fn whole_ms(time_ms: f64) -> u64 {
     let time = std::time::Duration::try_from_secs_f64(time_ms / 1_000.0);
     time.map_or(u64::MAX, world::unit::as_ms)
 }
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -3,8 +3,8 @@
 //!
 //! A row carries its process's start time and a sequence number that grows with
 //! each announcement, so a row that arrives late, twice or over another path
-//! changes nothing. Findings of entry VMs spread in the same way. Nothing is stored on disk: after a restart the registry fills
-//! up from the next announcements.
+//! changes nothing. Findings of entry VMs spread in the same way. The registry itself
+//! stores nothing on disk: after a restart it fills up from the next announcements.
 
 pub mod finding;
 pub mod registry;
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -6,7 +6,6 @@
 use affinity::{AttemptEnd, Choice};
 use balancer::Fingerprint;
 use bytes::{Bytes, BytesMut};
-use discovery::{Departure, Finding, ServerLimit};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderMap;
@@ -17,9 +16,10 @@
 
 use crate::body::{ResponseBody, Stream};
 use crate::connection::{Connection, Failure};
-use crate::dialect::{AttemptHead, Dialect, RequestHead, ResponseHead, Restrictions};
+use crate::dialect::{AttemptHead, Dialect, RequestHead, ResponseHead};
 use crate::large::Reservation;
 use crate::pace::SHORT_MAX_BYTES;
+use crate::restrictions;
 use crate::state::State;
 
 /// Responses up to this size are read completely before the first byte is
@@ -179,7 +179,7 @@
         return AttemptResult::MayHaveRun(AttemptEnd::Broken);
     }
     if !reply.replaced {
-        apply_restrictions(state, choice, reply.restrictions, sent_at);
+        restrictions::apply(state, choice, reply.restrictions, sent_at);
     }
     connection.idle_max = reply.idle_ms.map(ms);
     let closes = closes_connection(&head);
@@ -213,45 +213,6 @@
     classify(head, body, &reply)
 }
 
-/// Applies what the chosen server says in a response to a request that was sent at
-/// `sent_at`, and tells other entry VMs.
-fn apply_restrictions<D: Dialect>(
-    state: &State<D>,
-    choice: &Choice,
-    restrictions: Restrictions,
-    sent_at: Instant,
-) {
-    let now = Instant::now();
-    let Restrictions {
-        leaving,
-        hold_off_ms,
-        limit_per_1000_s,
-    } = restrictions;
-    let (server, born_ms) = (&choice.server, choice.born_ms);
-    let mut balancer = state.balancer.lock();
-    if let Some(hold_off_ms) = hold_off_ms {
-        balancer.hold_off(choice, ms(hold_off_ms), now);
-    }
-    if leaving {
-        balancer.mark_leaving(server, born_ms);
-    }
-    let limit_ended = balancer.apply_limit(choice, limit_per_1000_s, sent_at, now);
-    drop(balancer);
-    if leaving {
-        let server = server.clone();
-        let departure = Finding::Leaving(Departure { server, born_ms });
-        state.findings.report(departure, now);
-    }
-    if limit_ended || limit_per_1000_s.is_some() {
-        let limit = Finding::Limit(ServerLimit {
-            server: server.clone(),
-            born_ms,
-            per_1000_s: limit_per_1000_s,
-        });
-        state.findings.report(limit, now);
-    }
-}
-
 /// Classifies a complete or streamed response by its head.
 fn classify(head: response::Parts, body: ResponseBody, reply: &ResponseHead) -> AttemptResult {
     if reply.replaced {
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -23,6 +23,9 @@
 /// Most broken requests that are kept for one server: more than it runs at once.
 const BROKEN_MAX: usize = 256;
 
+/// Most requests that are named in the log line of a crash.
+const LOGGED_MAX: usize = 8;
+
 /// Marks of requests, and servers whose connections broke.
 pub struct Crashes {
     table: RankedMutex<Table>,
@@ -108,7 +111,7 @@
 
     /// Ends the check of a server; if it has crashed, marks the requests that ran and
     /// returns the marks for other entry VMs.
-    fn checked(&self, choice: &Choice, crashed: bool) -> Vec<Finding> {
+    fn finish_check(&self, choice: &Choice, crashed: bool) -> Vec<Finding> {
         let now = Instant::now();
         let mut table = self.table.lock();
         let key = (choice.server.clone(), choice.born_ms);
@@ -117,9 +120,11 @@
         let Some(crash) = crash.flatten() else {
             return Vec::new();
         };
+        let first = crash.ran.iter().take(LOGGED_MAX).map(ToString::to_string);
         log::warn!(
             target: "belief", server:% = choice.server, born_ms = choice.born_ms,
-            addr:% = choice.addr, ran:? = crash.ran;
+            addr:% = choice.addr, ran = crash.ran.len(),
+            first:% = first.collect::<Vec<_>>().join(" ");
             "backend server crashed"
         );
         table.poison.record_crash(now, &crash);
@@ -157,7 +162,7 @@
     if crashed {
         state.stats.record_crash(&choice);
     }
-    for finding in state.crashes.checked(&choice, crashed) {
+    for finding in state.crashes.finish_check(&choice, crashed) {
         state.findings.report(finding, Instant::now());
     }
     if let Ok(connection) = opened {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod pool;
 mod refusal;
 pub mod request_log;
+mod restrictions;
 mod retry;
 pub mod state;
 pub mod suspension;
--- a/crates/forward/src/retry.rs
+++ b/crates/forward/src/retry.rs
@@ -93,8 +93,8 @@
         }
     }
 
-    /// Whether another attempt can do no harm: the request may run again, and its last
-    /// attempt was not a further one that broke since a server crashed under it.
+    /// Whether another attempt is safe. A request that broke again after a server has
+    /// crashed under it is not repeated, since it may crash the next one as well.
     fn may_repeat(&self, end: AttemptEnd) -> bool {
         if not_run(end) {
             return true;
