Don't blame popular requests for crashes beside them

Cause: a request that is sent all the time runs nearly always somewhere, so also on two servers that crash for other reasons. Two entry VMs that saw one crash each, in which from their view nothing else ran, confirmed it to each other at once. An answer cleared a mark only if its request had been marked on arrival.

Each answer clears its request now, and a request equal to one answered within the last 5 s is not marked, nor are others' marks taken over for it. A request that crashes its servers is answered by nobody.

--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -2,10 +2,13 @@
 //! there, and which requests are no longer sent.
 //!
 //! A connection that breaks may have many causes. Only if the server then refuses a new
-//! connection has it crashed, and the requests that broke there are marked.
+//! connection has it crashed, and the requests that broke there are marked. A request
+//! equal to one that a server has just answered is not to blame: a popular one runs
+//! nearly always somewhere, so also where a server crashes for another reason.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use affinity::Choice;
 use balancer::{Crash, Fingerprint, Poison, PoisonSettings, Verdict};
@@ -23,6 +26,15 @@
 /// Most broken requests that are kept for one server: more than it runs at once.
 const BROKEN_MAX: usize = 256;
 
+/// Time after which an answer to an equal request no longer clears a request of a crash:
+/// between one and two times this. Once a request crashes all its servers, nobody
+/// answers it any more.
+const ANSWERED_TIME: Duration = Duration::from_secs(5);
+
+/// Most answered requests that are remembered in that time, at 8 bytes each and some for
+/// the table.
+const ANSWERED_MAX: usize = 16_384;
+
 /// Most requests that are named in the log line of a crash.
 const LOGGED_MAX: usize = 8;
 
@@ -34,10 +46,53 @@
 
 struct Table {
     poison: Poison,
+    answered: Answered,
     /// By server and its start time.
     broken: HashMap<(ServerName, u64), Broken>,
 }
 
+/// Requests that servers have answered lately, in two generations of which the older one
+/// is dropped after [`ANSWERED_TIME`].
+struct Answered {
+    newer: HashSet<Fingerprint>,
+    older: HashSet<Fingerprint>,
+    newer_since: Instant,
+}
+
+impl Answered {
+    fn new(now: Instant) -> Self {
+        Self {
+            newer: HashSet::new(),
+            older: HashSet::new(),
+            newer_since: now,
+        }
+    }
+
+    /// Drops what is too old by now.
+    fn advance(&mut self, now: Instant) {
+        let age = now.saturating_duration_since(self.newer_since);
+        if age >= ANSWERED_TIME {
+            self.older = std::mem::take(&mut self.newer);
+            self.newer_since = now;
+        }
+        if age >= ANSWERED_TIME * 2 {
+            self.older.clear();
+        }
+    }
+
+    fn record(&mut self, fingerprint: Fingerprint, now: Instant) {
+        self.advance(now);
+        if self.newer.len() < ANSWERED_MAX {
+            self.newer.insert(fingerprint);
+        }
+    }
+
+    fn contains(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
+        self.advance(now);
+        self.newer.contains(&fingerprint) || self.older.contains(&fingerprint)
+    }
+}
+
 /// Requests whose connections to one server broke.
 struct Broken {
     choice: Choice,
@@ -49,6 +104,7 @@
     fn default() -> Self {
         let table = Table {
             poison: Poison::new(PoisonSettings::default()),
+            answered: Answered::new(Instant::now()),
             broken: HashMap::new(),
         };
         Self {
@@ -92,10 +148,12 @@
         self.unchecked.notify_one();
     }
 
-    /// Clears a suspected request that a server has answered.
-    pub fn clear(&self, fingerprint: Fingerprint) {
+    /// Records that a server has answered a request, which clears it if it is suspected.
+    pub fn record_answer(&self, fingerprint: Fingerprint) {
+        let now = Instant::now();
         let mut table = self.table.lock();
-        table.poison.clear_suspect(Instant::now(), fingerprint);
+        table.answered.record(fingerprint, now);
+        table.poison.clear_suspect(now, fingerprint);
     }
 
     /// Servers with broken connections that are not being checked yet.
@@ -115,7 +173,13 @@
         let now = Instant::now();
         let mut table = self.table.lock();
         let key = (choice.server.clone(), choice.born_ms);
-        let ran = table.broken.remove(&key).map_or_else(Vec::new, |b| b.ran);
+        let Table {
+            poison,
+            answered,
+            broken,
+        } = &mut *table;
+        let mut ran = broken.remove(&key).map_or_else(Vec::new, |b| b.ran);
+        ran.retain(|fingerprint| !answered.contains(*fingerprint, now));
         let crash = crashed.then(|| Crash::new(&choice.server, choice.born_ms, ran));
         let Some(crash) = crash.flatten() else {
             return Vec::new();
@@ -127,16 +191,19 @@
             first:% = first.collect::<Vec<_>>().join(" ");
             "backend server crashed"
         );
-        table.poison.record_crash(now, &crash);
-        let marks = crash.ran.iter().filter_map(|f| table.poison.mark(now, *f));
+        poison.record_crash(now, &crash);
+        let marks = crash.ran.iter().filter_map(|f| poison.mark(now, *f));
         marks.map(Finding::Crash).collect()
     }
 
-    /// Merges a mark of another entry VM; returns this entry VM's mark if that is
-    /// confirmed by it.
+    /// Merges a mark of another entry VM, unless an equal request was answered here lately;
+    /// returns this entry VM's mark if that is confirmed by it.
     pub(crate) fn merge(&self, mark: &balancer::Mark) -> Option<Finding> {
         let now = Instant::now();
         let mut table = self.table.lock();
+        if table.answered.contains(mark.fingerprint, now) {
+            return None;
+        }
         table.poison.merge(now, std::slice::from_ref(mark));
         let merged = table.poison.mark(now, mark.fingerprint)?;
         (merged.convicted && !mark.convicted).then_some(Finding::Crash(merged))
--- a/crates/forward/src/retry.rs
+++ b/crates/forward/src/retry.rs
@@ -36,8 +36,6 @@
     unsent_count: usize,
     /// End of the last attempt after which the request may have run.
     uncertain_end: Option<AttemptEnd>,
-    /// Whether the request may be suspected of crashing backend servers.
-    may_be_marked: bool,
 }
 
 impl<'a, D: Dialect> RetryLoop<'a, D> {
@@ -57,7 +55,6 @@
             attempt_count: 0,
             unsent_count: 0,
             uncertain_end: None,
-            may_be_marked: state.crashes.verdict(outgoing.fingerprint) != Verdict::Clean,
         }
     }
 
@@ -74,9 +71,6 @@
             let end = self.finish_attempt(attempt, &result);
             let server_response = match result {
                 AttemptResult::Answered(server_response) if end == AttemptEnd::Answered => {
-                    if self.may_be_marked {
-                        self.state.crashes.clear(self.outgoing.fingerprint);
-                    }
                     return Ok(*server_response);
                 }
                 AttemptResult::Answered(server_response) => Some(server_response),
@@ -118,10 +112,13 @@
             AttemptResult::Answered(_) => AttemptEnd::Answered,
             AttemptResult::NotRun(end) | AttemptResult::MayHaveRun(end) => *end,
         };
+        if matches!(end, AttemptEnd::Answered | AttemptEnd::Failed) {
+            let crashes = &self.state.crashes;
+            crashes.record_answer(self.outgoing.fingerprint);
+        }
         let server = attempt.choice.server.clone();
         attempt.end(end, self.outgoing);
         if let AttemptResult::MayHaveRun(end) = result {
-            self.may_be_marked |= *end == AttemptEnd::Broken;
             self.uncertain_end = Some(*end);
         }
         if reached(end) {
