Let findings wait for the next feed instead of waking all entry VMs

Cause, by reading: a finding woke every waiting reader, and an entry VM broke off its waiting request to report one; with hundreds of entry VMs a few findings a second keep all of them reading, and each response scans the whole registry.

Findings go out with the next request and response now, half a second later at most each. When more than three servers crash within 2 s no request is marked: another cause is at work, and the marks of all that ran there are only load.

--- a/crates/discovery/src/registry.rs
+++ b/crates/discovery/src/registry.rs
@@ -77,6 +77,7 @@
     servers_at: HashMap<SocketAddr, ServerName>,
     clock: u64,
     last_change: u64,
+    last_finding: u64,
 }
 
 impl Registry {
@@ -116,7 +117,12 @@
             announced_clock: self.clock,
             changed: if differs { self.clock } else { changed },
         };
-        self.last_change = self.last_change.max(record.changed);
+        let last = if record.row.is_finding() {
+            &mut self.last_finding
+        } else {
+            &mut self.last_change
+        };
+        *last = record.changed.max(*last);
         self.rows.insert(key, record);
         true
     }
@@ -256,12 +262,20 @@
         changed.map(|record| record.to_update(now)).collect()
     }
 
-    /// Returns the logical clock at the newest change that matters to entry VMs.
+    /// Returns the logical clock at the newest change that matters to entry VMs at once.
+    /// Findings may wait for the next response to a reader: if each of them woke all
+    /// readers, a few in a second would keep hundreds of entry VMs reading.
     #[must_use]
     pub fn last_change(&self) -> u64 {
         self.last_change
     }
 
+    /// Returns the logical clock at the newest finding.
+    #[must_use]
+    pub fn last_finding(&self) -> u64 {
+        self.last_finding
+    }
+
     /// Returns the backend servers that are not lost, to be stored for a restart.
     #[must_use]
     pub fn servers(&self) -> Vec<ServerRow> {
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -6,7 +6,7 @@
 //! equal to one that a server has just answered is not to blame: a popular one runs
 //! nearly always somewhere, so also where a server crashes for another reason.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,6 +35,13 @@
 /// the table.
 const ANSWERED_MAX: usize = 16_384;
 
+/// Most servers that may crash within [`MASS_TIME`] because of a request. More of them
+/// have another cause, and marks of all that ran there would only be passed around.
+const MASS_CRASHES: usize = 3;
+
+/// Time in which crashes count as one event.
+const MASS_TIME: Duration = Duration::from_secs(2);
+
 /// Most requests that are named in the log line of a crash.
 const LOGGED_MAX: usize = 8;
 
@@ -47,6 +54,8 @@
 struct Table {
     poison: Poison,
     answered: Answered,
+    /// Times of the latest crashes, at most [`MASS_CRASHES`].
+    crashed_at: VecDeque<Instant>,
     /// By server and its start time.
     broken: HashMap<(ServerName, u64), Broken>,
 }
@@ -105,6 +114,7 @@
         let table = Table {
             poison: Poison::new(PoisonSettings::default()),
             answered: Answered::new(Instant::now()),
+            crashed_at: VecDeque::new(),
             broken: HashMap::new(),
         };
         Self {
@@ -176,6 +186,7 @@
         let Table {
             poison,
             answered,
+            crashed_at,
             broken,
         } = &mut *table;
         let mut ran = broken.remove(&key).map_or_else(Vec::new, |b| b.ran);
@@ -191,6 +202,9 @@
             first:% = first.collect::<Vec<_>>().join(" ");
             "backend server crashed"
         );
+        if is_mass_crash(crashed_at, now) {
+            return Vec::new();
+        }
         poison.record_crash(now, &crash);
         let marks = crash.ran.iter().filter_map(|f| poison.mark(now, *f));
         marks.map(Finding::Crash).collect()
@@ -210,6 +224,21 @@
     }
 }
 
+/// Records a crash; returns whether it is one of more than [`MASS_CRASHES`] within
+/// [`MASS_TIME`].
+fn is_mass_crash(crashed_at: &mut VecDeque<Instant>, now: Instant) -> bool {
+    let is_old = |at: &Instant| now.saturating_duration_since(*at) > MASS_TIME;
+    while crashed_at.front().is_some_and(is_old) {
+        crashed_at.pop_front();
+    }
+    let is_mass = crashed_at.len() >= MASS_CRASHES;
+    if is_mass {
+        crashed_at.pop_front();
+    }
+    crashed_at.push_back(now);
+    is_mass
+}
+
 /// Checks servers whose connections broke, until the task is aborted.
 pub async fn check_broken_servers<D: Dialect>(state: Arc<State<D>>) {
     loop {
--- a/crates/forward/src/findings.rs
+++ b/crates/forward/src/findings.rs
@@ -5,7 +5,6 @@
 
 use balancer::Fingerprint;
 use discovery::{Finding, FindingKey, Row, Update};
-use tokio::sync::watch;
 use tokio::time::Instant;
 use world::unit::{as_ms, ms};
 use world::{LockRank, RankedMutex};
@@ -19,8 +18,6 @@
 /// The known findings.
 pub struct Findings {
     table: RankedMutex<Table>,
-    /// Newest position; tasks that report findings watch it.
-    newest: watch::Sender<u64>,
 }
 
 #[derive(Default)]
@@ -42,7 +39,6 @@
     fn default() -> Self {
         Self {
             table: RankedMutex::new(LockRank::Registry, Table::default()),
-            newest: watch::Sender::new(0),
         }
     }
 }
@@ -73,7 +69,6 @@
         let position = table.newest + 1;
         if table.insert(finding, now, position) {
             table.newest = position;
-            self.newest.send_replace(position);
         }
     }
 
@@ -103,7 +98,6 @@
             *newest += 1;
             known.position = *newest;
         }
-        self.newest.send_replace(table.newest);
     }
 
     /// Findings to report after a position, oldest first and at most
@@ -125,16 +119,6 @@
         (updates.collect(), reached)
     }
 
-    /// Waits until there are findings to report after a position.
-    pub async fn wait_newer(&self, than: u64) {
-        // The sender lives as long as `self`, so the wait can't fail.
-        let _ = self
-            .newest
-            .subscribe()
-            .wait_for(|newest| *newest > than)
-            .await;
-    }
-
     /// Forgets findings that no longer count.
     pub fn expire(&self, now: Instant) {
         let counts =
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -34,9 +34,6 @@
 /// replicas learn of a commit with the leader's next heartbeat, every 250 ms.
 const LAG_MAX: Duration = Duration::from_secs(1);
 
-/// Time for which new findings are collected before they are reported.
-const REPORT_DELAY: Duration = Duration::from_millis(20);
-
 /// Pause before following another control VM after a failed feed request.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -172,23 +169,11 @@
         let mut cursor = known.unwrap_or_default();
         let mut logged = false;
         let mut caught_up_at = Instant::now();
-        let mut may_interrupt = true;
         loop {
             let requested_at = Instant::now();
             let findings = &self.state.findings;
             let (unreported, reported) = findings.unreported(cursor.reported, requested_at);
-            let response = tokio::select! {
-                response = self.request_feed(addr, cursor, unreported) => response,
-                // New findings are reported at once. The next request has to end, so that
-                // a stream of findings can't keep the feed from being read.
-                () = findings.wait_newer(reported), if may_interrupt => {
-                    may_interrupt = false;
-                    sleep(REPORT_DELAY).await;
-                    continue;
-                }
-            };
-            may_interrupt = true;
-            let Some(response) = response else {
+            let Some(response) = self.request_feed(addr, cursor, unreported).await else {
                 return "no answer";
             };
             let index = self.state.catalog.lock().index();
--- a/crates/routed_control/src/control_vm.rs
+++ b/crates/routed_control/src/control_vm.rs
@@ -352,7 +352,7 @@
     }
 
     async fn save_periodically(self: Arc<Self>) {
-        let mut saved = 0;
+        let mut saved = (0, 0);
         loop {
             tokio::time::sleep(SAVE_INTERVAL).await;
             let (change, rows) = {
@@ -361,7 +361,7 @@
                     servers: registry.servers(),
                     findings: registry.findings(Instant::now()),
                 };
-                (registry.last_change(), rows)
+                ((registry.last_change(), registry.last_finding()), rows)
             };
             if change == saved || self.started_at.elapsed() < SETTLE_TIME {
                 continue;
