Take the end of a leaving server for no crash

Found while the load of findings was looked for: a server that has announced its leaving ends while a request still runs there; the request was marked, and after two such ends refused by all entry VMs. A release of a service could have done that to callers (planned work that looks like failure), and each end made marks to pass around.

Evidence: the_end_of_a_leaving_server_is_no_crash; before, the request had a confirmed mark after two servers had left.

--- a/crates/affinity/src/restrictions.rs
+++ b/crates/affinity/src/restrictions.rs
@@ -25,6 +25,20 @@
         }
     }
 
+    /// Returns whether an incarnation of a server is known to be leaving.
+    #[must_use]
+    pub fn is_leaving(&self, server: &ServerName, born_ms: u64) -> bool {
+        let service = self.service_of.get(server);
+        let service = service.and_then(|name| self.services.get(name));
+        let row = service.and_then(|service| service.servers.get(server));
+        let by_row = row.is_some_and(|row| row.leaving && row.born_ms == born_ms);
+        by_row
+            || self
+                .leaving
+                .get(server)
+                .is_some_and(|born| *born >= born_ms)
+    }
+
     /// Sends no requests to the chosen server for a time that it has named, from now on.
     pub fn hold_off(&mut self, choice: &Choice, time: Duration, now: Instant) {
         let service = self.services.get_mut(&choice.service);
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -254,7 +254,13 @@
 async fn check_server<D: Dialect>(state: Arc<State<D>>, choice: Choice) {
     let timeout = attempt::connect_timeout(&state, &choice);
     let opened = Connection::open(choice.addr, timeout).await;
-    let crashed = matches!(opened, Err(Failure::Refused));
+    let refused = matches!(opened, Err(Failure::Refused));
+    let is_leaving = || {
+        let balancer = state.balancer.lock();
+        balancer.is_leaving(&choice.server, choice.born_ms)
+    };
+    // A server that leaves ends as it has said.
+    let crashed = refused && !is_leaving();
     if crashed {
         state.stats.record_crash(&choice);
     }
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -47,8 +47,9 @@
     Leaving,
     /// Reports that it did not run the request, and wants no requests for this time, milliseconds.
     HoldOff(u64),
-    /// Ends the server after reading the request: closes all connections and the port.
-    Crash,
+    /// Ends the server this time after reading the request, milliseconds: closes all
+    /// connections and the port.
+    Crash(u64),
     /// Closes the connection after reading the request.
     Reset,
     /// Sends half of the response body and closes the connection.
@@ -165,7 +166,10 @@
             Behaviour::HoldOff(time_ms) => format!(
                 "HTTP/1.1 503 Full\r\nx-id: {id}\r\nx-not-run: 1\r\nx-hold-off: {time_ms}\r\ncontent-length: 0\r\n\r\n"
             ),
-            Behaviour::Crash => return Ended::Server,
+            Behaviour::Crash(after_ms) => {
+                sleep(Duration::from_millis(after_ms)).await;
+                return Ended::Server;
+            }
             Behaviour::Reset => return Ended::Connection,
             Behaviour::Half => {
                 let whole = answer(&id);
--- a/crates/forward/tests/crashes.rs
+++ b/crates/forward/tests/crashes.rs
@@ -45,8 +45,8 @@
 async fn a_request_under_which_two_servers_ended_is_refused() {
     let entry = checking_entry().await;
     let servers: [&[Behaviour]; 3] = [
-        &[Behaviour::Crash],
-        &[Behaviour::Crash],
+        &[Behaviour::Crash(0)],
+        &[Behaviour::Crash(0)],
         &[Behaviour::Answer(0)],
     ];
     insta::assert_snapshot!(ask_in_turn(&entry, &servers).await);
@@ -57,10 +57,10 @@
 #[tokio::test]
 async fn a_popular_request_is_not_blamed_for_crashes_beside_it() {
     let entry = checking_entry().await;
-    let answers_then_ends: &[Behaviour] = &[Behaviour::Answer(0), Behaviour::Crash];
+    let answers_then_ends: &[Behaviour] = &[Behaviour::Answer(0), Behaviour::Crash(0)];
     let servers: [&[Behaviour]; 3] = [
         answers_then_ends,
-        &[Behaviour::Crash],
+        &[Behaviour::Crash(0)],
         &[Behaviour::Answer(0)],
     ];
     insta::assert_snapshot!(ask_in_turn(&entry, &servers).await);
@@ -77,3 +77,23 @@
     ];
     insta::assert_snapshot!(ask_in_turn(&entry, &servers).await);
 }
+
+/// A server that leaves ends as it has said, whatever still runs there.
+#[tokio::test]
+async fn the_end_of_a_leaving_server_is_no_crash() {
+    let entry = checking_entry().await;
+    for name in ["s1", "s2"] {
+        let server = stub_server(name, &[Behaviour::Crash(100)]).await;
+        let mut balancer = entry.state.balancer.lock();
+        balancer.apply_announcement(&row(&server), 0, Instant::now());
+        drop(balancer);
+        let leaves = async {
+            sleep(Duration::from_millis(50)).await;
+            entry.state.balancer.lock().mark_leaving(&server.name, 1);
+        };
+        tokio::join!(get(&entry, "/once/1", name), leaves);
+        sleep(CHECK_TIME).await;
+    }
+    let (marks, _) = entry.state.findings.unreported(0, Instant::now());
+    assert_eq!(marks.len(), 0, "{marks:?}");
+}
