Pass rows on only from the control VM they were announced to

Cause: control VMs passed on what they had from each other, and the reader's own row in each feed request counted as announced, so traffic grew with the cube of their number; each response scanned the whole registry; servers that warm up were told to all readers at each announcement; a control VM that had been frozen took all servers for lost.

An index by clock makes a response cost what changed. Responses to entry VMs wait 0.1 to 0.2 s for further changes. The end of a cold time is told once.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -1,5 +1,5 @@
 //! Service discovery: a registry of the backend servers, entry VMs and control
-//! VMs that announce themselves. Control VMs exchange it by gossip.
+//! VMs that announce themselves. Each control VM passes on what was announced to it.
 //!
 //! A row carries its process's start time and a sequence number that grows with
 //! each announcement, so a row that arrives late, twice or over another path
@@ -7,9 +7,11 @@
 //! stores nothing on disk: after a restart it fills up from the next announcements.
 
 pub mod finding;
+pub mod near;
 pub mod registry;
 pub mod row;
 
 pub use finding::{Departure, Finding, FindingKey, ServerLimit};
-pub use registry::{Registry, RegistrySettings, SubstituteScope};
+pub use near::SubstituteScope;
+pub use registry::{Origin, Registry, RegistrySettings};
 pub use row::{ControlRow, EntryRow, Key, Row, ServerRow, Update};
--- a/crates/discovery/src/registry.rs
+++ b/crates/discovery/src/registry.rs
@@ -1,35 +1,49 @@
 //! The registry: merges announced rows, marks rows without new announcements as
 //! lost, and returns the rows that changed since a given point.
+//!
+//! A control VM passes a row on to other control VMs only if it was announced there.
+//! Rows from elsewhere go only to a reader that can't reach their origin, so that the
+//! traffic of a row grows with the number of control VMs and not with its square.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::time::Duration;
 
-use steer::hash::{self, Purpose};
 use tokio::time::Instant;
 use world::unit::{as_ms, ms};
-use world::{Place, ServerName};
+use world::{MachineName, ServerName};
 
 use crate::finding::Finding;
-use crate::row::{ControlRow, EntryRow, Key, Row, ServerRow, Update};
-
-/// Used share of its network link from which on an entry VM counts as busy,
-/// percent: above it small responses queue behind large ones.
-const BUSY_THRESHOLD_PERCENT: usize = 70;
+use crate::row::{ControlRow, Key, Row, ServerRow, Update};
 
 /// Most findings that are kept: some crashes of servers with a hundred requests each,
 /// at about 30 bytes a finding.
 const FINDINGS_MAX: usize = 4_096;
 
-/// Which entry VMs may substitute for lost ones.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum SubstituteScope {
-    /// Only those of the same region, for sites that bind requests to regions.
-    Region,
-    /// Those of any region.
-    Anywhere,
+/// Where a control VM has a row from.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Origin {
+    /// The machine or server announced itself to this control VM.
+    Here,
+    /// Another control VM sent it.
+    ControlVm(MachineName),
+    /// It was stored before a restart of this control VM.
+    Cache,
 }
 
+/// Time between two sweeps from which on this process has been suspended or starved, so
+/// that it may not have read the announcements that arrived meanwhile.
+const SWEEP_GAP_MAX: Duration = Duration::from_millis(1_500);
+
+/// Time after such a gap in which no row counts as lost: an announcement interval of
+/// 1.5 s and 0.5 s of network delay.
+const CATCH_UP_TIME: Duration = Duration::from_secs(2);
+
+/// Difference between two announced ends of a server's cold time that doesn't matter to
+/// entry VMs: network delay and the timers of the server.
+const COLD_END_TOLERANCE: Duration = Duration::from_millis(500);
+
 /// Settings of a [`Registry`].
 #[derive(Clone, Copy, Debug)]
 pub struct RegistrySettings {
@@ -57,10 +71,11 @@
 
 /// A row with its state in the registry.
 #[derive(Clone, Debug)]
-struct Record {
-    row: Row,
-    announced_at: Instant,
-    lost: bool,
+pub(crate) struct Record {
+    pub row: Row,
+    origin: Origin,
+    pub announced_at: Instant,
+    pub lost: bool,
     /// Value of the registry's logical clock at the last announcement.
     announced_clock: u64,
     /// Value of the registry's logical clock at the last change that matters to entry
@@ -73,8 +88,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     settings: RegistrySettings,
-    rows: HashMap<Key, Record>,
+    pub(crate) rows: HashMap<Key, Record>,
+    /// Keys of the rows by `announced_clock`.
+    by_announcement: BTreeMap<u64, Key>,
+    /// Keys of the rows by `changed`.
+    by_change: BTreeMap<u64, Key>,
     servers_at: HashMap<SocketAddr, ServerName>,
+    swept_at: Option<Instant>,
+    /// End of the time after a suspension in which no row counts as lost.
+    catching_up_until: Option<Instant>,
     clock: u64,
     last_change: u64,
     last_finding: u64,
@@ -90,9 +112,15 @@
         }
     }
 
-    /// Applies a row that was announced `age_ms` ago. Returns whether it was newer
+    /// Applies a row that was announced here `age_ms` ago. Returns whether it was newer
     /// than the known row.
     pub fn merge(&mut self, row: Row, age_ms: u64, now: Instant) -> bool {
+        self.merge_from(Origin::Here, row, age_ms, now)
+    }
+
+    /// Applies a row that was announced `age_ms` ago and came from `origin`. Returns
+    /// whether it was newer than the known row.
+    pub fn merge_from(&mut self, origin: Origin, row: Row, age_ms: u64, now: Instant) -> bool {
         let announced_at = now.checked_sub(ms(age_ms)).unwrap_or(now);
         let key = row.key();
         let known = self.rows.get(&key);
@@ -104,14 +132,14 @@
         {
             return false;
         }
-        let differs = self
-            .rows
-            .get(&key)
-            .is_none_or(|record| record.lost || row.is_relevant_change_from(&record.row));
+        let known = self.rows.get(&key);
+        let differs = known.is_none_or(|record| record.matters(&row, announced_at));
         self.clock += 1;
-        let changed = self.rows.get(&key).map_or(0, |record| record.changed);
+        let before = known.map(|record| (record.announced_clock, record.changed));
+        let changed = before.map_or(0, |(_, changed)| changed);
         let record = Record {
             row,
+            origin,
             announced_at,
             lost: false,
             announced_clock: self.clock,
@@ -123,6 +151,12 @@
             &mut self.last_change
         };
         *last = record.changed.max(*last);
+        if let Some((announced_clock, changed)) = before {
+            self.by_announcement.remove(&announced_clock);
+            self.by_change.remove(&changed);
+        }
+        self.by_announcement.insert(self.clock, key.clone());
+        self.by_change.insert(record.changed, key.clone());
         self.rows.insert(key, record);
         true
     }
@@ -154,7 +188,7 @@
             return true;
         }
         let key = Key::Server(name.clone());
-        if let Some(record) = self.rows.get_mut(&key) {
+        if let Some(record) = self.rows.get(&key) {
             let born_ms = record.row.order().0;
             if born_ms > server.born_ms {
                 return false;
@@ -164,10 +198,7 @@
                     target: "roster", server:% = name, by:% = server.name, addr:% = server.addr;
                     "another server announces itself at the address"
                 );
-                self.clock += 1;
-                record.lost = true;
-                record.changed = self.clock;
-                self.last_change = self.clock;
+                self.mark_lost(&key);
             }
         }
         self.servers_at.insert(server.addr, server.name.clone());
@@ -175,7 +206,7 @@
     }
 
     /// Returns whether the last announcement is older than the timeout.
-    fn is_overdue(&self, record: &Record, now: Instant) -> bool {
+    pub(crate) fn is_overdue(&self, record: &Record, now: Instant) -> bool {
         let bound = match &record.row {
             Row::Server(_) => ms(self.settings.server_timeout_ms),
             Row::Entry(_) | Row::Control(_) => ms(self.settings.machine_timeout_ms),
@@ -184,9 +215,40 @@
         now.saturating_duration_since(record.announced_at) > bound
     }
 
-    /// Marks rows without recent announcements as lost and removes old rows.
-    /// Returns whether any row was marked.
+    /// Marks a row as lost.
+    fn mark_lost(&mut self, key: &Key) {
+        let Some(record) = self.rows.get_mut(key) else {
+            return;
+        };
+        self.clock += 1;
+        self.by_change.remove(&record.changed);
+        self.by_change.insert(self.clock, key.clone());
+        record.lost = true;
+        record.changed = self.clock;
+        self.last_change = self.clock;
+    }
+
+    /// Returns whether this process may have missed announcements lately, because it was
+    /// suspended or starved between two sweeps.
+    fn is_catching_up(&mut self, now: Instant) -> bool {
+        let before = self.swept_at.replace(now);
+        let gap = before.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        if gap > SWEEP_GAP_MAX {
+            self.catching_up_until = Some(now + CATCH_UP_TIME);
+            log::warn!(
+                target: "roster", gap_ms = as_ms(gap);
+                "this process was suspended or starved; nothing counts as lost for now"
+            );
+        }
+        self.catching_up_until.is_some_and(|until| now < until)
+    }
+
+    /// Marks rows without recent announcements as lost and removes old rows. To be called
+    /// every half second. Returns whether any row was marked.
     pub fn sweep(&mut self, now: Instant) -> bool {
+        if self.is_catching_up(now) {
+            return false;
+        }
         let overdue: Vec<Key> = self
             .rows
             .iter()
@@ -195,17 +257,16 @@
             .map(|(key, _)| key.clone())
             .collect();
         for key in &overdue {
-            self.clock += 1;
-            if let Some(record) = self.rows.get_mut(key) {
+            if let Some(record) = self.rows.get(key) {
                 let silent_ms = as_ms(now.saturating_duration_since(record.announced_at));
                 log::info!(target: "roster", key:? = key, silent_ms; "lost: no announcement within the timeout");
-                record.lost = true;
-                record.changed = self.clock;
-                self.last_change = self.clock;
+                self.mark_lost(key);
             }
         }
         self.forget(now);
         let rows = &self.rows;
+        self.by_announcement.retain(|_, key| rows.contains_key(key));
+        self.by_change.retain(|_, key| rows.contains_key(key));
         self.servers_at
             .retain(|_, name| rows.contains_key(&Key::Server(name.clone())));
         !overdue.is_empty()
@@ -244,12 +305,22 @@
         self.clock
     }
 
-    /// Returns the rows announced after `cursor` that are not lost, for other
-    /// control VMs.
+    /// Returns the rows announced here after `cursor` that are not lost, and those from
+    /// the control VMs in `relayed`, for another control VM.
     #[must_use]
-    pub fn announced_since(&self, cursor: u64, now: Instant) -> Vec<Update> {
-        let rows = self.rows.values();
-        let announced = rows.filter(|record| record.announced_clock > cursor && !record.lost);
+    pub fn announced_since(
+        &self,
+        cursor: u64,
+        relayed: &[MachineName],
+        now: Instant,
+    ) -> Vec<Update> {
+        let passed_on = |record: &&Record| match &record.origin {
+            Origin::Here => true,
+            Origin::ControlVm(name) => relayed.contains(name),
+            Origin::Cache => false,
+        };
+        let announced = self.records_after(&self.by_announcement, cursor);
+        let announced = announced.filter(|record| !record.lost).filter(passed_on);
         announced.map(|record| record.to_update(now)).collect()
     }
 
@@ -257,11 +328,20 @@
     /// VMs.
     #[must_use]
     pub fn changed_since(&self, cursor: u64, now: Instant) -> Vec<Update> {
-        let rows = self.rows.values();
-        let changed = rows.filter(|record| record.changed > cursor);
+        let changed = self.records_after(&self.by_change, cursor);
         changed.map(|record| record.to_update(now)).collect()
     }
 
+    /// Returns the records of an index that come after `cursor`, in order.
+    fn records_after<'a>(
+        &'a self,
+        index: &'a BTreeMap<u64, Key>,
+        cursor: u64,
+    ) -> impl Iterator<Item = &'a Record> {
+        let keys = index.range((Bound::Excluded(cursor), Bound::Unbounded));
+        keys.filter_map(|(_, key)| self.rows.get(key))
+    }
+
     /// Returns the logical clock at the newest change that matters to entry VMs at once.
     /// Findings may wait for the next response to a reader: if each of them woke all
     /// readers, a few in a second would keep hundreds of entry VMs reading.
@@ -316,80 +396,24 @@
             _ => None,
         })
     }
+}
 
-    /// Returns the entry VMs that clients may use, with the age of each one's last
-    /// announcement.
-    pub fn entries(&self, now: Instant) -> impl Iterator<Item = (&EntryRow, Duration)> {
-        self.rows
-            .values()
-            .filter_map(move |record| match &record.row {
-                Row::Entry(row)
-                    if !record.lost && !row.leaving && !self.is_overdue(record, now) =>
-                {
-                    Some((row, now.saturating_duration_since(record.announced_at)))
-                }
-                _ => None,
-            })
-    }
-
-    /// Returns the entry VMs that a client at `place` should use: those of its
-    /// failure domain, or if there are none, of its region, or else all.
-    ///
-    /// If some entry VMs of the domain are lost and the remaining ones would be busy
-    /// with the clients of the whole domain, the same number of other entry VMs
-    /// substitutes for them. `from` says which entry VMs may substitute. The caller
-    /// chooses `seed`, such as a random number per call, so that different seeds
-    /// distribute the clients over all candidates.
-    #[must_use]
-    pub fn entries_near(
-        &self,
-        place: &Place,
-        from: SubstituteScope,
-        seed: u64,
-        now: Instant,
-    ) -> Vec<&EntryRow> {
-        let all: Vec<&EntryRow> = self.entries(now).map(|(row, _)| row).collect();
-        let same_domain = |row: &&EntryRow| row.place == *place;
-        let same_region = |row: &&EntryRow| row.place.region == place.region;
-        let mut near: Vec<&EntryRow> = all.iter().copied().filter(same_domain).collect();
-        let substitutes_needed = self.substitutes_needed(place, &near);
-        if substitutes_needed > 0 {
-            let is_candidate = |row: &&EntryRow| {
-                !same_domain(row) && (from == SubstituteScope::Anywhere || same_region(row))
-            };
-            let mut others: Vec<&EntryRow> = all.iter().copied().filter(is_candidate).collect();
-            others.sort_by_key(|row| {
-                hash::mix(hash::name(row.name.as_str()), seed, Purpose::Substitute)
-            });
-            near.extend(others.into_iter().take(substitutes_needed));
-        }
-        if !near.is_empty() {
-            return near;
-        }
-        let near: Vec<&EntryRow> = all.iter().copied().filter(same_region).collect();
-        if near.is_empty() { all } else { near }
-    }
-
-    /// Returns how many entry VMs of a domain need a substitute: the number of lost
-    /// ones if the clients of the whole domain would make its available entry VMs
-    /// (`near`) busy, else 0.
-    fn substitutes_needed(&self, place: &Place, near: &[&EntryRow]) -> usize {
-        let entries = self.rows.values().filter_map(|record| match &record.row {
-            Row::Entry(row) if row.place == *place => Some(row),
-            _ => None,
-        });
-        let (mut total, mut busy_percent) = (0, 0);
-        for row in entries {
-            total += 1;
-            busy_percent += row.busy_percent as usize;
+impl Record {
+    /// Returns whether a newer row, announced at `at`, is a change that matters to entry
+    /// VMs. While a server warms up, each of its announcements tells the end of that anew.
+    fn matters(&self, row: &Row, at: Instant) -> bool {
+        if self.lost || row.is_relevant_change_from(&self.row) {
+            return true;
         }
-        // The load that all entry VMs of the domain had, divided among `near`.
-        let busy = !near.is_empty() && busy_percent >= near.len() * BUSY_THRESHOLD_PERCENT;
-        if busy { total - near.len() } else { 0 }
+        let (Row::Server(new), Row::Server(old)) = (row, &self.row) else {
+            return false;
+        };
+        let end = |row: &ServerRow, announced_at: Instant| announced_at + ms(row.cold_ms);
+        let (new_end, old_end) = (end(new, at).max(at), end(old, self.announced_at).max(at));
+        let shift = new_end.max(old_end) - new_end.min(old_end);
+        shift > COLD_END_TOLERANCE
     }
-}
 
-impl Record {
     fn to_update(&self, now: Instant) -> Update {
         Update {
             row: self.row.clone(),
--- a/crates/discovery/src/row.rs
+++ b/crates/discovery/src/row.rs
@@ -131,8 +131,8 @@
         matches!(self, Self::Finding(_))
     }
 
-    /// Returns whether the change from `old` to this row matters to entry VMs. Most
-    /// announcements change only the sequence number.
+    /// Returns whether the change from `old` to this row matters to entry VMs, apart from
+    /// how long a server stays cold. Most announcements change only the sequence number.
     pub(crate) fn is_relevant_change_from(&self, old: &Self) -> bool {
         match (self, old) {
             (Self::Server(new), Self::Server(old)) => {
@@ -140,8 +140,6 @@
                     || new.addr != old.addr
                     || new.slots != old.slots
                     || new.draining != old.draining
-                    || new.cold_ms > 0
-                    || old.cold_ms > 0
             }
             (Self::Entry(new), Self::Entry(old)) => new.leaving != old.leaving,
             (Self::Control(new), Self::Control(old)) => new.link != old.link,
--- a/crates/discovery/tests/registry.rs
+++ b/crates/discovery/tests/registry.rs
@@ -5,7 +5,8 @@
 
 use balancer::{Fingerprint, Mark};
 use discovery::{
-    EntryRow, Finding, Registry, RegistrySettings, Row, ServerLimit, ServerRow, SubstituteScope,
+    EntryRow, Finding, Origin, Registry, RegistrySettings, Row, ServerLimit, ServerRow,
+    SubstituteScope,
 };
 use tokio::time::Instant;
 use world::{DomainName, MachineName, Place, RegionName, ServerName, ServiceName};
@@ -81,7 +82,7 @@
     let cursor = registry.clock();
     registry.merge(Row::Server(server("s1", 80, 1, 2)), 0, now);
     assert!(registry.changed_since(cursor, now).is_empty());
-    assert_eq!(registry.announced_since(cursor, now).len(), 1);
+    assert_eq!(registry.announced_since(cursor, &[], now).len(), 1);
     let mut draining = server("s1", 80, 1, 3);
     draining.draining = true;
     registry.merge(Row::Server(draining), 0, now);
@@ -268,3 +269,79 @@
         .map(|(case, row, age_ms, ms)| format!("{case}: {}", registry.merge(row, age_ms, at(ms))));
     insta::assert_snapshot!(rows.join("\n"));
 }
+
+/// Names of the servers that another control VM gets after `cursor`.
+fn passed_on(registry: &Registry, cursor: u64, relayed: &[MachineName], now: Instant) -> String {
+    let rows = registry.announced_since(cursor, relayed, now);
+    let names = rows.iter().map(|update| format!("{:?}", update.row.key()));
+    names.collect::<Vec<_>>().join(" ")
+}
+
+#[test]
+fn a_row_is_passed_on_only_where_it_was_announced() {
+    let (mut registry, now) = registry();
+    let [c1, c2] = ["c1", "c2"].map(|name| MachineName::new(name).unwrap());
+    let row = |name, port, sequence| Row::Server(server(name, port, 1, sequence));
+    registry.merge_from(Origin::Cache, row("cached", 79, 0), 0, now);
+    registry.merge(row("here", 80, 1), 0, now);
+    registry.merge_from(Origin::ControlVm(c1.clone()), row("there", 81, 1), 0, now);
+    registry.merge_from(
+        Origin::ControlVm(c2.clone()),
+        row("elsewhere", 82, 1),
+        0,
+        now,
+    );
+    let mut seen = vec![
+        passed_on(&registry, 0, &[], now),
+        passed_on(&registry, 0, std::slice::from_ref(&c1), now),
+        passed_on(&registry, 0, &[c1, c2.clone()], now),
+    ];
+    // The server turns to another control VM: its row goes on from there alone.
+    registry.merge_from(Origin::ControlVm(c2), row("here", 80, 2), 0, now);
+    seen.push(passed_on(&registry, 0, &[], now));
+    registry.merge(row("here", 80, 3), 0, now);
+    seen.push(passed_on(&registry, 0, &[], now));
+    insta::assert_debug_snapshot!(seen);
+}
+
+/// A control VM that wakes up after a freeze finds its announcements old, but the servers
+/// have not stopped.
+#[test]
+fn nothing_counts_as_lost_right_after_a_suspension() {
+    let (mut registry, now) = registry();
+    registry.merge(Row::Server(server("s1", 80, 1, 1)), 0, now);
+    registry.merge(Row::Server(server("s2", 81, 1, 1)), 0, now);
+    let at = |ms| now + Duration::from_millis(ms);
+    let mut marked = vec![registry.sweep(now), registry.sweep(at(500))];
+    marked.push(registry.sweep(at(9_500)));
+    registry.merge(Row::Server(server("s1", 80, 1, 2)), 0, at(10_000));
+    for sweep_ms in (10_000..=12_000).step_by(500) {
+        marked.push(registry.sweep(at(sweep_ms)));
+    }
+    let left: Vec<_> = registry.servers().into_iter().map(|row| row.name).collect();
+    insta::assert_debug_snapshot!((marked, left));
+}
+
+#[test]
+fn the_end_of_the_cold_time_is_told_once() {
+    let (mut registry, now) = registry();
+    let at = |ms| now + Duration::from_millis(ms);
+    let cold = |sequence, cold_ms| {
+        let mut row = server("s1", 80, 1, sequence);
+        row.cold_ms = cold_ms;
+        Row::Server(row)
+    };
+    let told = [
+        ("first", 0, cold(1, 3_000)),
+        ("warming up", 1_500, cold(2, 1_490)),
+        ("warm", 3_000, cold(3, 0)),
+        ("cold again", 4_500, cold(4, 3_000)),
+        ("warm at once", 6_000, cold(5, 0)),
+    ]
+    .map(|(case, ms, row)| {
+        let cursor = registry.clock();
+        registry.merge(row, 0, at(ms));
+        format!("{case}: {}", registry.changed_since(cursor, at(ms)).len())
+    });
+    insta::assert_debug_snapshot!(told);
+}
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -319,6 +319,7 @@
             cursor: cursor.registry,
             catalog_index: self.state.catalog.lock().index(),
             findings,
+            relayed: Vec::new(),
         };
         let payload = routed_control::feed::encode(&request)
             .inspect_err(
--- a/crates/routed_control/src/control_vm.rs
+++ b/crates/routed_control/src/control_vm.rs
@@ -9,7 +9,8 @@
 use catalog::Catalog;
 use control::Group;
 use discovery::{
-    ControlRow, EntryRow, Registry, RegistrySettings, Row, ServerRow, SubstituteScope, Update,
+    ControlRow, EntryRow, Origin, Registry, RegistrySettings, Row, ServerRow, SubstituteScope,
+    Update,
 };
 use peers::{Identity, Links, accept};
 use quorum::{FileDisk, OpenMembership};
@@ -30,7 +31,7 @@
 /// [`RegistrySettings::machine_timeout_ms`].
 const FEED_WAIT: Duration = Duration::from_millis(500);
 
-/// Delay of a response to another control VM, in which changes are batched.
+/// Least delay of a response to a reader with a cursor, in which changes are batched.
 const BATCH_DELAY: Duration = Duration::from_millis(100);
 
 /// Time after a start in which some backend servers may not have announced
@@ -137,14 +138,18 @@
         })
     }
 
-    /// Merges rows that were announced here, received from another control VM or loaded
-    /// from the cache.
+    /// Merges rows that were announced here.
     pub fn merge(&self, news: impl IntoIterator<Item = Update>) {
+        self.merge_from(&Origin::Here, news);
+    }
+
+    /// Merges rows that came from `origin`.
+    pub fn merge_from(&self, origin: &Origin, news: impl IntoIterator<Item = Update>) {
         let now = Instant::now();
         let mut registry = self.registry.lock();
         let mut any = false;
         for Update { row, age_ms, .. } in news {
-            any |= registry.merge(row, age_ms, now);
+            any |= registry.merge_from(origin.clone(), row, age_ms, now);
         }
         if any {
             self.publish(&registry);
@@ -251,6 +256,7 @@
             cursor,
             catalog_index,
             findings,
+            relayed,
         } = request;
         let news = Update {
             row: me,
@@ -258,18 +264,30 @@
             lost: false,
         };
         let findings = findings.into_iter().filter(|f| f.row.is_finding());
-        self.merge(std::iter::once(news).chain(findings));
+        match &news.row {
+            // The reader itself answers all others, so its row is not passed on.
+            Row::Control(row) => {
+                let origin = Origin::ControlVm(row.name.clone());
+                self.merge_from(&origin, std::iter::once(news));
+            }
+            _ => self.merge(std::iter::once(news).chain(findings)),
+        }
         let cursor = if boot == self.boot { cursor } else { 0 };
         let wait_until = Instant::now() + FEED_WAIT;
         match reader {
             Reader::Entry => self.await_change(cursor, catalog_index, wait_until).await,
             Reader::Control => self.await_row(cursor, wait_until).await,
         }
-        self.response(reader, cursor, catalog_index)
+        self.response(reader, cursor, catalog_index, &relayed)
     }
 
     /// Waits for a change of the registry or of the catalog that matters to entry VMs.
     async fn await_change(&self, cursor: u64, catalog_index: u64, until: Instant) {
+        if cursor > 0 {
+            // Readers come back at different times, so that a change does not wake all.
+            let batch = BATCH_DELAY.mul_f64(1.0 + rand::random::<f64>());
+            sleep_until(Instant::now() + batch).await;
+        }
         let mut changed = self.newest_change.subscribe();
         let mut applied = self.catalog.applied();
         loop {
@@ -295,13 +313,19 @@
         let _ = timeout_at(until, newer).await;
     }
 
-    fn response(&self, reader: Reader, cursor: u64, catalog_index: u64) -> FeedResponse {
+    fn response(
+        &self,
+        reader: Reader,
+        cursor: u64,
+        catalog_index: u64,
+        relayed: &[MachineName],
+    ) -> FeedResponse {
         let now = Instant::now();
         let (news, next) = {
             let registry = self.registry.lock();
             let news = match reader {
                 Reader::Entry => registry.changed_since(cursor, now),
-                Reader::Control => registry.announced_since(cursor, now),
+                Reader::Control => registry.announced_since(cursor, relayed, now),
             };
             (news, registry.clock())
         };
@@ -344,11 +368,12 @@
         );
         let servers = cached.servers.into_iter().map(Row::Server);
         let rows = servers.chain(cached.findings.into_iter().map(Row::Finding));
-        self.merge(rows.map(|row| Update {
+        let rows = rows.map(|row| Update {
             row,
             age_ms: 0,
             lost: false,
-        }));
+        });
+        self.merge_from(&Origin::Cache, rows);
     }
 
     async fn save_periodically(self: Arc<Self>) {
--- a/crates/routed_control/src/feed.rs
+++ b/crates/routed_control/src/feed.rs
@@ -7,14 +7,14 @@
 use bytes::Bytes;
 use discovery::{Row, Update};
 use serde::{Deserialize, Serialize};
-use world::{Error, ErrorKind, Result};
+use world::{Error, ErrorKind, MachineName, Result};
 
 /// Role of a reader of the feed.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Reader {
     /// An entry VM; it receives the catalog and the rows that affect forwarding.
     Entry,
-    /// Another control VM; it receives every row announced since its cursor.
+    /// Another control VM; it receives the rows announced here since its cursor.
     Control,
 }
 
@@ -34,6 +34,10 @@
     /// Findings of an entry VM that it has not reported to this control VM yet.
     #[serde(skip)]
     pub findings: Vec<Update>,
+    /// Control VMs that the reader, a control VM, can't reach. It needs their rows from
+    /// this one.
+    #[serde(skip)]
+    pub relayed: Vec<MachineName>,
 }
 
 /// Changes after the reader's cursor, with the next cursor.
@@ -61,33 +65,59 @@
     pub findings: Vec<Update>,
 }
 
-/// A message with findings, which follow its other fields: a process of an earlier
+/// A message with fields that follow those of the first version: a process of an earlier
 /// version ignores them, and its own messages end before them.
-pub trait WithFindings {
-    /// Returns the findings.
-    fn findings(&self) -> &[Update];
+pub trait WithLaterFields {
+    /// Appends the fields to the encoded message, up to the last one that is not empty.
+    ///
+    /// # Errors
+    /// When a field can't be encoded.
+    fn append_later_fields(&self, bytes: &mut Vec<u8>) -> postcard::Result<()>;
 
-    /// Replaces the findings.
-    fn set_findings(&mut self, findings: Vec<Update>);
+    /// Reads the fields from what follows the encoded message.
+    ///
+    /// # Errors
+    /// When a field can't be decoded.
+    fn read_later_fields(&mut self, rest: &[u8]) -> postcard::Result<()>;
 }
 
-impl WithFindings for FeedRequest {
-    fn findings(&self) -> &[Update] {
-        &self.findings
+impl WithLaterFields for FeedRequest {
+    fn append_later_fields(&self, bytes: &mut Vec<u8>) -> postcard::Result<()> {
+        if !self.findings.is_empty() || !self.relayed.is_empty() {
+            bytes.extend(postcard::to_stdvec(&self.findings)?);
+        }
+        if !self.relayed.is_empty() {
+            bytes.extend(postcard::to_stdvec(&self.relayed)?);
+        }
+        Ok(())
     }
 
-    fn set_findings(&mut self, findings: Vec<Update>) {
+    fn read_later_fields(&mut self, rest: &[u8]) -> postcard::Result<()> {
+        if rest.is_empty() {
+            return Ok(());
+        }
+        let (findings, rest) = postcard::take_from_bytes(rest)?;
         self.findings = findings;
+        if !rest.is_empty() {
+            self.relayed = postcard::from_bytes(rest)?;
+        }
+        Ok(())
     }
 }
 
-impl WithFindings for FeedResponse {
-    fn findings(&self) -> &[Update] {
-        &self.findings
+impl WithLaterFields for FeedResponse {
+    fn append_later_fields(&self, bytes: &mut Vec<u8>) -> postcard::Result<()> {
+        if !self.findings.is_empty() {
+            bytes.extend(postcard::to_stdvec(&self.findings)?);
+        }
+        Ok(())
     }
 
-    fn set_findings(&mut self, findings: Vec<Update>) {
-        self.findings = findings;
+    fn read_later_fields(&mut self, rest: &[u8]) -> postcard::Result<()> {
+        if !rest.is_empty() {
+            self.findings = postcard::from_bytes(rest)?;
+        }
+        Ok(())
     }
 }
 
@@ -95,11 +125,9 @@
 ///
 /// # Errors
 /// [`ErrorKind::Internal`] when the message can't be encoded.
-pub fn encode<T: Serialize + WithFindings>(message: &T) -> Result<Bytes> {
+pub fn encode<T: Serialize + WithLaterFields>(message: &T) -> Result<Bytes> {
     let encoded = postcard::to_stdvec(message).and_then(|mut bytes| {
-        if !message.findings().is_empty() {
-            bytes.extend(postcard::to_stdvec(message.findings())?);
-        }
+        message.append_later_fields(&mut bytes)?;
         Ok(bytes.into())
     });
     encoded.map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))
@@ -109,11 +137,9 @@
 ///
 /// # Errors
 /// [`ErrorKind::BadRequest`] when the payload can't be decoded.
-pub fn decode<'a, T: Deserialize<'a> + WithFindings>(payload: &'a [u8]) -> Result<T> {
+pub fn decode<'a, T: Deserialize<'a> + WithLaterFields>(payload: &'a [u8]) -> Result<T> {
     let decoded = postcard::take_from_bytes::<T>(payload).and_then(|(mut message, rest)| {
-        if !rest.is_empty() {
-            message.set_findings(postcard::from_bytes(rest)?);
-        }
+        message.read_later_fields(rest)?;
         Ok(message)
     });
     decoded.map_err(|e| Error::new(ErrorKind::BadRequest, e.to_string()))
--- a/crates/routed_control/src/feed_reader.rs
+++ b/crates/routed_control/src/feed_reader.rs
@@ -1,18 +1,22 @@
-//! Replicates the registries of all other control VMs into this one by reading their
-//! feeds.
+//! Merges what was announced to the other control VMs into this one's registry, by
+//! reading their feeds. Rows of a control VM that does not answer come through others.
 
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
+use discovery::Origin;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use wire::Body;
 use wire::body::Feed;
+use world::{LockRank, MachineName, RankedMutex};
 
 use crate::control_vm::ControlVm;
 use crate::feed::{self, FeedRequest, FeedResponse, Reader};
+use crate::reach::Reach;
+use crate::settings::name_of;
 
 /// Time between two checks for control VMs that have joined or left.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(500);
@@ -27,6 +31,7 @@
 /// Runs one task for each known control VM, which reads its feed.
 pub async fn run(control_vm: Arc<ControlVm>) {
     let mut reader_tasks: HashMap<IpAddr, JoinHandle<()>> = HashMap::new();
+    let reach = Arc::new(RankedMutex::new(LockRank::Members, Reach::default()));
     loop {
         let control_vms = control_vm.controls();
         reader_tasks.retain(|ip, task| {
@@ -36,21 +41,36 @@
             }
             keep
         });
+        reach.lock().retain(&control_vms);
         for ip in control_vms {
-            let control_vm = Arc::clone(&control_vm);
+            let (control_vm, reach) = (Arc::clone(&control_vm), Arc::clone(&reach));
             reader_tasks
                 .entry(ip)
-                .or_insert_with(|| tokio::spawn(read_feed(control_vm, ip)));
+                .or_insert_with(|| tokio::spawn(read_feed(control_vm, ip, reach)));
         }
         sleep(DISCOVERY_INTERVAL).await;
     }
 }
 
-async fn read_feed(control_vm: Arc<ControlVm>, ip: IpAddr) {
+async fn read_feed(control_vm: Arc<ControlVm>, ip: IpAddr, reach: Arc<RankedMutex<Reach>>) {
     let addr = SocketAddr::new(ip, control_vm.settings.link_port);
+    let Ok(name) = name_of(ip) else {
+        return;
+    };
     let (mut boot, mut cursor) = (0, 0);
-    let mut reached = None;
+    let mut relayed: Vec<MachineName> = Vec::new();
     loop {
+        let silent = reach.lock().relayed_by(ip);
+        let relayed_now = silent
+            .into_iter()
+            .filter_map(|ip| name_of(ip).ok())
+            .collect();
+        let before = std::mem::replace(&mut relayed, relayed_now);
+        if relayed.iter().any(|name| !before.contains(name)) {
+            log::info!(target: "hub", control:% = ip, relayed:? = relayed; "rows of control VMs that do not answer come through another");
+            // Rows of theirs before the cursor were not passed on.
+            cursor = 0;
+        }
         let request = FeedRequest {
             reader: Reader::Control,
             me: control_vm.own_row(),
@@ -58,10 +78,10 @@
             cursor,
             catalog_index: 0,
             findings: Vec::new(),
+            relayed: relayed.clone(),
         };
         let response = request_feed(&control_vm, addr, &request).await;
-        if reached != Some(response.is_some()) {
-            reached = Some(response.is_some());
+        if reach.lock().record(ip, response.is_some()) {
             log::info!(target: "hub", control:% = ip, reached = response.is_some(); "control VM");
         }
         let Some(response) = response else {
@@ -69,7 +89,8 @@
             continue;
         };
         (boot, cursor) = (response.boot, response.cursor);
-        control_vm.merge(response.news.into_iter().chain(response.findings));
+        let origin = Origin::ControlVm(name.clone());
+        control_vm.merge_from(&origin, response.news.into_iter().chain(response.findings));
     }
 }
 
--- a/crates/routed_control/tests/feed.rs
+++ b/crates/routed_control/tests/feed.rs
@@ -36,6 +36,7 @@
         cursor: 4,
         catalog_index: 5,
         findings,
+        relayed: Vec::new(),
     }
 }
 
@@ -71,6 +72,19 @@
     assert_eq!(decode::<FeedRequest>(&bytes).unwrap(), request);
 }
 
+#[test]
+fn names_of_silent_control_vms_are_read_back() {
+    let relayed = vec![MachineName::new("c2").unwrap()];
+    for findings in [vec![], vec![finding()]] {
+        let request = FeedRequest {
+            relayed: relayed.clone(),
+            ..request(findings)
+        };
+        let bytes = encode(&request).unwrap();
+        assert_eq!(decode::<FeedRequest>(&bytes).unwrap(), request);
+    }
+}
+
 #[test]
 fn an_earlier_version_reads_a_message_with_findings() {
     let bytes = encode(&request(vec![finding()])).unwrap();
--- a/crates/steer/src/hash.rs
+++ b/crates/steer/src/hash.rs
@@ -42,6 +42,8 @@
     Part,
     /// Entry VM that substitutes for a lost one.
     Substitute,
+    /// Control VMs that pass on the rows of one that can't be reached.
+    Relay,
 }
 
 /// Returns the hash of a client's address prefix. Clients with the same prefix
