Refuse requests that would outlast a planned stop

Change: forward::shutdown decides by the time left: a request that may run once needs all of its time until the end, others half of it; else 503 'leaving', true and at once. What still runs 0.1 s before the end gets 504.

--- a/crates/discovery/src/registry.rs
+++ b/crates/discovery/src/registry.rs
@@ -161,9 +161,9 @@
         true
     }
 
-    /// Returns whether `row` replaces the recorded one: if it is newer, or if it is
-    /// of another incarnation of a machine whose announcements have stopped. A new
-    /// incarnation may have the earlier start time if the machine's clock was set back.
+    /// Returns whether `row` replaces the recorded one: if it is newer, or if it is of
+    /// another incarnation of a machine whose announcements have stopped or that is known
+    /// from before a restart only. Start times of machines don't tell which is later.
     fn is_newer(&self, row: &Row, at: Instant, record: &Record, now: Instant) -> bool {
         if let (Row::Finding(finding), Row::Finding(known)) = (row, &record.row) {
             return finding.replaces(at, known, record.announced_at);
@@ -173,7 +173,8 @@
         }
         let other_start = row.order().0 != record.row.order().0;
         let machine = matches!(row, Row::Entry(_) | Row::Control(_));
-        machine && other_start && self.is_overdue(record, now)
+        let outdated = record.origin == Origin::Cache || self.is_overdue(record, now);
+        machine && other_start && outdated
     }
 
     /// Assigns the server's address to the server. If another server had the
--- a/crates/discovery/tests/registry.rs
+++ b/crates/discovery/tests/registry.rs
@@ -345,3 +345,36 @@
     });
     insta::assert_debug_snapshot!(told);
 }
+
+/// After a restart of a control VM its directory answers at once, and an entry VM that has
+/// restarted too takes the place of its earlier start, whichever start time is greater.
+#[test]
+fn a_restarted_control_vm_names_the_entry_vms_it_knew() {
+    let (mut registry, now) = registry();
+    let names = |registry: &Registry, at| {
+        let place = place("north", "north-a");
+        let rows = registry.entries_near(&place, SubstituteScope::Anywhere, 0, at);
+        let names = rows
+            .iter()
+            .map(|row| format!("{} {}", row.name, row.born_ms));
+        let mut names: Vec<String> = names.collect();
+        names.sort();
+        names
+    };
+    let row = |name, born_ms| {
+        let Row::Entry(row) = entry(name, place("north", "north-a"), 0, false) else {
+            unreachable!()
+        };
+        Row::Entry(EntryRow { born_ms, ..row })
+    };
+    for name in ["e1", "e2"] {
+        registry.merge_from(Origin::Cache, row(name, 7), 0, now);
+    }
+    let mut seen = vec![names(&registry, now)];
+    registry.merge(row("e1", 5), 0, now + Duration::from_millis(500));
+    let later = now + Duration::from_millis(2_100);
+    seen.push(names(&registry, now + Duration::from_millis(600)));
+    registry.sweep(later);
+    seen.push(names(&registry, later));
+    insta::assert_debug_snapshot!(seen);
+}
--- a/crates/forward/src/handler.rs
+++ b/crates/forward/src/handler.rs
@@ -58,6 +58,12 @@
         Ok(body) => body,
         Err(refusal) => return refuse(&state, &refusal, Some(&call), arrived_at),
     };
+    // The body may have taken long, so a planned stop may have begun meanwhile.
+    let idempotent = route.kind.is_repeatable();
+    let deadline = match state.admit(deadline, idempotent) {
+        Ok(deadline) => deadline,
+        Err(error) => return refuse_routed(&state, &error.into(), &call, route, arrived_at),
+    };
     let fingerprint = fingerprint(&call, &head.method, &head.uri, &body);
     if let Some(refusal) = state.crashes.refusal(fingerprint) {
         return refuse_routed(&state, &refusal, &call, route, arrived_at);
@@ -75,11 +81,18 @@
         headers: answer::forwarded_headers(head.headers),
         body,
         client_deadline: arrived_at + ms(deadline_ms),
-        idempotent: route.kind.is_repeatable(),
+        idempotent,
         reserved,
     };
     let mut retry_loop = RetryLoop::new(&state, route, &outgoing, deadline);
-    match retry_loop.run().await {
+    let result = tokio::select! {
+        result = retry_loop.run() => result,
+        () = state.last_response_time() => {
+            let text = "no response before this entry VM ends";
+            Err(Refusal::new(ErrorKind::DeadlineRunning, text))
+        }
+    };
+    match result {
         Ok(server_response) => {
             let outcome = Outcome::answered(server_response.head.status.as_u16());
             state.record_outcome(&outgoing.call, Some(route), &outcome, arrived_at);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod request_log;
 mod restrictions;
 mod retry;
+pub mod shutdown;
 pub mod state;
 pub mod suspension;
 
@@ -30,4 +31,5 @@
 pub use dialect::{AttemptHead, Dialect, RequestHead, ResponseHead, Restrictions};
 pub use follow::ControlFollower;
 pub use metrics::Metrics;
+pub use shutdown::Shutdown;
 pub use state::{Settings, State};
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -2,15 +2,16 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use affinity::AffinityBalancer;
 use arc_swap::ArcSwap;
 use catalog::{Catalog, Table};
 use discovery::{EntryRow, Row};
-use tokio::time::Instant;
-use world::{LockRank, RankedMutex, Route, Secret};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
+use world::{LockRank, RankedMutex, Result, Route, Secret};
 
 use crate::crashes::Crashes;
 use crate::dialect::{Dialect, RequestHead};
@@ -20,6 +21,7 @@
 use crate::pace::Pacer;
 use crate::pool::Pool;
 use crate::request_log::{Outcome, RequestLog};
+use crate::shutdown::Shutdown;
 
 /// Time for which routes count as up to date after a control VM confirmed them:
 /// changes must be in effect after 2 s, and control VMs may lag behind each
@@ -79,7 +81,8 @@
     /// Counters and histograms.
     pub stats: Metrics,
     pub(crate) request_log: RequestLog,
-    leaving: AtomicBool,
+    /// Times of the planned stop, once it has begun.
+    shutdown: watch::Sender<Option<Shutdown>>,
     /// Random number that tells this process from earlier ones; sent as `born_ms`.
     incarnation: u64,
     sequence: AtomicU64,
@@ -90,7 +93,7 @@
     ///
     /// # Errors
     /// When the metrics can't be registered.
-    pub fn new(settings: Settings, dialect: D) -> Result<Self, prometheus::Error> {
+    pub fn new(settings: Settings, dialect: D) -> prometheus::Result<Self> {
         Ok(Self {
             dialect,
             routes: ArcSwap::default(),
@@ -109,7 +112,7 @@
             pace_out: Arc::new(Pacer::new(settings.link_bytes_per_s)),
             stats: Metrics::new()?,
             request_log: RequestLog::default(),
-            leaving: AtomicBool::new(false),
+            shutdown: watch::Sender::new(None),
             incarnation: rand::random::<u64>().max(1),
             sequence: AtomicU64::new(1),
             settings,
@@ -137,13 +140,38 @@
 
     /// Whether this entry VM is leaving.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.shutdown.borrow().is_some()
     }
 
     /// Starts leaving: from now on responses close their connections, and this
     /// entry VM announces that it is leaving.
-    pub fn start_leaving(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
+    pub fn start_leaving(&self, shutdown: Shutdown) {
+        // A second signal does not postpone the end.
+        self.shutdown
+            .send_modify(|known| *known = known.or(Some(shutdown)));
+    }
+
+    /// Decides whether a request with this deadline is taken now. Returns the deadline,
+    /// which a planned stop brings forward.
+    ///
+    /// # Errors
+    /// Those of [`Shutdown::admit`].
+    pub fn admit(&self, deadline: Instant, idempotent: bool) -> Result<Instant> {
+        let shutdown = *self.shutdown.borrow();
+        shutdown.map_or(Ok(deadline), |s| {
+            s.admit(deadline, idempotent, Instant::now())
+        })
+    }
+
+    /// Waits for the last moment of a planned stop at which a response can be sent.
+    pub(crate) async fn last_response_time(&self) {
+        let mut shutdown = self.shutdown.subscribe();
+        let known = shutdown.wait_for(Option::is_some).await;
+        let at = known.ok().and_then(|known| *known);
+        match at {
+            Some(shutdown) => sleep_until(shutdown.last_response_at()).await,
+            None => std::future::pending().await,
+        }
     }
 
     /// The announcement of this entry VM, with the next sequence number.
--- a/crates/routed_control/src/control_vm.rs
+++ b/crates/routed_control/src/control_vm.rs
@@ -353,7 +353,7 @@
         Cache::new(&self.settings.data_dir)
     }
 
-    /// Loads the servers and findings that were known before a restart.
+    /// Loads the servers, findings and entry VMs that were known before a restart.
     fn load_cached_rows(&self) {
         let cached = match self.cache().load() {
             Ok(cached) => cached,
@@ -363,11 +363,13 @@
             }
         };
         log::info!(
-            target: "hub", servers = cached.servers.len(), findings = cached.findings.len();
-            "cached backend servers loaded"
+            target: "hub", servers = cached.servers.len(), findings = cached.findings.len(),
+            entry_vms = cached.entries.len();
+            "cached backend servers and entry VMs loaded"
         );
         let servers = cached.servers.into_iter().map(Row::Server);
         let rows = servers.chain(cached.findings.into_iter().map(Row::Finding));
+        let rows = rows.chain(cached.entries.into_iter().map(Row::Entry));
         let rows = rows.map(|row| Update {
             row,
             age_ms: 0,
@@ -381,10 +383,11 @@
         loop {
             tokio::time::sleep(SAVE_INTERVAL).await;
             let (change, rows) = {
-                let registry = self.registry.lock();
+                let (registry, now) = (self.registry.lock(), Instant::now());
                 let rows = CachedRows {
                     servers: registry.servers(),
-                    findings: registry.findings(Instant::now()),
+                    findings: registry.findings(now),
+                    entries: registry.entries(now).map(|(row, _)| row.clone()).collect(),
                 };
                 ((registry.last_change(), registry.last_finding()), rows)
             };
--- a/crates/routed_control/tests/cache.rs
+++ b/crates/routed_control/tests/cache.rs
@@ -2,9 +2,9 @@
 //! damaged file is an error.
 
 use balancer::{Fingerprint, Mark};
-use discovery::{Finding, ServerRow};
+use discovery::{EntryRow, Finding, ServerRow};
 use routed_control::cache::{Cache, CachedRows};
-use world::{DomainName, Place, RegionName, ServerName, ServiceName};
+use world::{DomainName, MachineName, Place, RegionName, ServerName, ServiceName};
 
 fn row() -> ServerRow {
     let region = RegionName::new("north").unwrap();
@@ -29,9 +29,19 @@
         sole: true,
         left_ms: 60_000,
     };
+    let entry = EntryRow {
+        name: MachineName::new("e1").unwrap(),
+        front: ([10, 0, 0, 9], 80).into(),
+        place: row().place,
+        leaving: false,
+        busy_percent: 10,
+        born_ms: 3,
+        sequence: 70,
+    };
     CachedRows {
         servers: vec![row()],
         findings: vec![Finding::Crash(mark)],
+        entries: vec![entry],
     }
 }
 
@@ -45,6 +55,8 @@
     assert_eq!((server.born_ms, server.sequence), (7, 0));
     assert!(server.cold_ms >= 1_000);
     assert_eq!(loaded.findings, rows().findings);
+    let entry = &loaded.entries[0];
+    assert_eq!((entry.born_ms, entry.sequence), (3, 0));
 }
 
 #[test]
@@ -61,6 +73,25 @@
     }
 }
 
+/// A file of the version before entry VMs ends with the findings.
+#[test]
+fn a_file_without_entry_vms_gives_servers_and_findings() {
+    let dir = tempfile::tempdir().unwrap();
+    let CachedRows {
+        servers, findings, ..
+    } = rows();
+    let rows = postcard::to_stdvec(&(servers, findings)).unwrap();
+    let sum = crc32fast::hash(&rows).to_le_bytes();
+    std::fs::write(dir.path().join("servers.cache"), [&sum[..], &rows].concat()).unwrap();
+    let loaded = Cache::new(dir.path()).load().unwrap();
+    let counts = (
+        loaded.servers.len(),
+        loaded.findings.len(),
+        loaded.entries.len(),
+    );
+    assert_eq!(counts, (1, 1, 0));
+}
+
 /// A file of the version before findings ends with the servers.
 #[test]
 fn a_file_without_findings_gives_the_servers() {
