--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -15,6 +15,7 @@
 use hyper::Response;
 use hyper::header::{HOST, HeaderMap};
 use hyper::http::{request, response};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -43,6 +44,12 @@
     /// Sends the first text, in which ID stands for the request's id, and then the second
     /// one until the caller closes the connection.
     Endless(&'static str, &'static str),
+    /// Sends each text after its delay, milliseconds, with ID for the request's id and
+    /// PREVIOUS for that of the request before, and ends the connection as told.
+    Script(&'static [(u64, &'static str)], ConnectionEnd),
+    /// Sends this many bytes of the text, in which ID stands for the request's id, and
+    /// ends the connection.
+    Truncated(&'static str, usize, ConnectionEnd),
     /// Responds and reports that it is leaving.
     Leaving,
     /// Reports that it did not run the request, and wants no requests for this time, milliseconds.
@@ -62,6 +69,17 @@
     Fail,
 }
 
+/// How a stub server goes on with a connection after a response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConnectionEnd {
+    /// It waits for the next request.
+    Kept,
+    /// It closes the connection.
+    Closed,
+    /// It resets the connection.
+    Reset,
+}
+
 /// Ids of the requests that a stub server has read, with the time left for
 /// each, milliseconds.
 pub type ReceivedRequests = Arc<Mutex<Vec<(String, u64)>>>;
@@ -127,6 +145,7 @@
     endless_bytes: Arc<Mutex<Option<usize>>>,
 ) -> Ended {
     let mut before = String::new();
+    let mut previous_id = String::new();
     while let Some(head) = read_head(&mut stream).await {
         let field = |name: &str| {
             let mut lines = head.lines().filter_map(|line| line.split_once(": "));
@@ -162,6 +181,27 @@
                 *endless_bytes.lock().expect("bytes") = Some(taken);
                 return Ended::Connection;
             }
+            Behaviour::Script(steps, end) => {
+                for (delay_ms, text) in steps {
+                    sleep(Duration::from_millis(*delay_ms)).await;
+                    let text = text.replace("ID", &id).replace("PREVIOUS", &previous_id);
+                    if stream.write_all(text.as_bytes()).await.is_err() {
+                        return Ended::Connection;
+                    }
+                }
+                if end_connection(&stream, end) {
+                    return Ended::Connection;
+                }
+                String::new()
+            }
+            Behaviour::Truncated(text, len, end) => {
+                let text = text.replace("ID", &id);
+                let _ = stream.write_all(&text.as_bytes()[..len]).await;
+                // What was written has to arrive before a reset.
+                sleep(Duration::from_millis(5)).await;
+                end_connection(&stream, end);
+                return Ended::Connection;
+            }
             Behaviour::Leaving => answer(&id).replace("x-seal: 1", "x-seal: 1\r\nx-leaving: 1"),
             Behaviour::HoldOff(time_ms) => format!(
                 "HTTP/1.1 503 Full\r\nx-id: {id}\r\nx-not-run: 1\r\nx-hold-off: {time_ms}\r\ncontent-length: 0\r\n\r\n"
@@ -187,10 +227,20 @@
             return Ended::Connection;
         }
         before = text;
+        previous_id = id;
     }
     Ended::Connection
 }
 
+/// Prepares the end of a connection; returns whether it ends when it is dropped.
+fn end_connection(stream: &TcpStream, end: ConnectionEnd) -> bool {
+    if end == ConnectionEnd::Reset {
+        let linger = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+        linger.expect("linger set");
+    }
+    end != ConnectionEnd::Kept
+}
+
 /// Writes `start` and then `repeated` until the caller closes the connection; returns
 /// the number of bytes.
 async fn write_endlessly(stream: &mut TcpStream, start: &str, repeated: &str) -> usize {
