Wait for connections by the deviation of their times

Change: affinity::round_trip, as RFC 6298: four deviations, doubled with each timeout in a row, a second at most.

--- a/crates/affinity/src/affinity_balancer.rs
+++ b/crates/affinity/src/affinity_balancer.rs
@@ -11,6 +11,7 @@
 use world::{DomainName, MachineName, RegionName, ServerName, ServiceName, ServiceTerms};
 
 use crate::request::{AttemptEnd, Choice, Full, Report, Request};
+use crate::round_trip::RoundTrip;
 use crate::server::Server;
 use crate::service::{Context, EntryVm, Service};
 use crate::settings::Settings;
@@ -27,9 +28,6 @@
 /// Round-trip time to another region before it has been measured, milliseconds.
 const INITIAL_RTT_MS: f64 = 50.0;
 
-/// Weight of a new measurement in the round-trip time to a region.
-const RTT_WEIGHT: f64 = 0.1;
-
 /// Time for which servers count as cold after the evacuation of their failure
 /// domain ends: they may have restarted, and their next announcement says so.
 const COLD_AFTER_EVACUATION: Duration = Duration::from_secs(4);
@@ -49,8 +47,7 @@
     /// Start time of the newest leaving incarnation of each server, Unix milliseconds.
     pub(crate) leaving: HashMap<ServerName, u64>,
     pub(crate) evacuated: Vec<DomainName>,
-    /// Average round-trip time to each region, milliseconds.
-    pub(crate) rtts_ms: BTreeMap<RegionName, f64>,
+    pub(crate) round_trips: BTreeMap<RegionName, RoundTrip>,
     /// Known entry VMs with their regions, and when each was reported lost.
     entries: HashMap<MachineName, (RegionName, Option<Instant>)>,
     /// The same entry VMs by the hash of their names.
@@ -65,8 +62,9 @@
     pub fn new(settings: Settings, now: Instant) -> Self {
         let region = settings.place.region.clone();
         let regions = settings.domains.values().cloned();
-        let mut rtts_ms: BTreeMap<RegionName, f64> = regions.map(|r| (r, INITIAL_RTT_MS)).collect();
-        rtts_ms.insert(region.clone(), 0.0);
+        let far = RoundTrip::new(INITIAL_RTT_MS);
+        let mut round_trips: BTreeMap<RegionName, RoundTrip> = regions.map(|r| (r, far)).collect();
+        round_trips.insert(region.clone(), RoundTrip::new(0.0));
         let own_hash = hash::name(settings.name.as_str());
         Self {
             own_hash,
@@ -75,7 +73,7 @@
             service_of: HashMap::new(),
             leaving: HashMap::new(),
             evacuated: Vec::new(),
-            rtts_ms,
+            round_trips,
             entries: HashMap::from([(settings.name.clone(), (region.clone(), None))]),
             entry_vms: vec![EntryVm {
                 hash: own_hash,
@@ -213,7 +211,7 @@
             &self.settings,
             self.own_hash,
             &self.evacuated,
-            &self.rtts_ms,
+            &self.round_trips,
             known_entry_vms(&self.entry_vms, self.started_at, now),
         );
         for (name, service) in &mut self.services {
@@ -236,7 +234,7 @@
             &self.settings,
             self.own_hash,
             &self.evacuated,
-            &self.rtts_ms,
+            &self.round_trips,
             known_entry_vms(&self.entry_vms, self.started_at, now),
         );
         let service = self.services.get_mut(request.service);
@@ -292,15 +290,24 @@
 
     /// Adds a measured round-trip time to a region, milliseconds.
     pub fn record_rtt(&mut self, region: &RegionName, rtt_ms: f64) {
-        if let Some(known) = self.rtts_ms.get_mut(region) {
-            *known += (rtt_ms - *known) * RTT_WEIGHT;
+        if let Some(known) = self.round_trips.get_mut(region) {
+            known.record(rtt_ms);
+        }
+    }
+
+    /// Records that a connection to a server of a region was not established in time.
+    pub fn record_connect_timeout(&mut self, region: &RegionName) {
+        if let Some(known) = self.round_trips.get_mut(region) {
+            known.record_timeout();
         }
     }
 
-    /// Returns the average round-trip time to a region, milliseconds.
+    /// Returns how long to wait for a connection to a server of a region.
     #[must_use]
-    pub fn rtt_ms(&self, region: &RegionName) -> f64 {
-        self.rtts_ms.get(region).copied().unwrap_or(INITIAL_RTT_MS)
+    pub fn connect_timeout(&self, region: &RegionName) -> Duration {
+        let known = self.round_trips.get(region).copied();
+        let round_trip = known.unwrap_or(RoundTrip::new(INITIAL_RTT_MS));
+        round_trip.connect_timeout()
     }
 
     /// Adds to the service's retry budget for a first attempt.
@@ -368,13 +375,13 @@
     settings: &'a Settings,
     own_hash: u64,
     evacuated: &'a [DomainName],
-    rtts_ms: &'a BTreeMap<RegionName, f64>,
+    round_trips: &'a BTreeMap<RegionName, RoundTrip>,
     entries: &'a [EntryVm],
 ) -> Context<'a> {
     Context {
         place: &settings.place,
         evacuated,
-        rtts_ms,
+        round_trips,
         entries,
         own_hash,
         cold_factor: settings.cold_factor,
--- a/crates/affinity/src/lib.rs
+++ b/crates/affinity/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod request;
 mod restrictions;
 mod retry_after;
+pub mod round_trip;
 pub mod server;
 pub mod service;
 pub mod settings;
--- a/crates/affinity/src/restrictions.rs
+++ b/crates/affinity/src/restrictions.rs
@@ -99,7 +99,7 @@
             &self.settings,
             self.own_hash,
             &self.evacuated,
-            &self.rtts_ms,
+            &self.round_trips,
             known_entry_vms(&self.entry_vms, self.started_at, now),
         );
         let service = self.service_of.get(server);
@@ -117,7 +117,7 @@
             &self.settings,
             self.own_hash,
             &self.evacuated,
-            &self.rtts_ms,
+            &self.round_trips,
             known_entry_vms(&self.entry_vms, self.started_at, now),
         );
         let service = self.services.get(service);
--- a/crates/affinity/src/service.rs
+++ b/crates/affinity/src/service.rs
@@ -14,6 +14,7 @@
 use crate::cold;
 use crate::estimate::{self, CostInputs};
 use crate::request::{Choice, Full, Request};
+use crate::round_trip::RoundTrip;
 use crate::server::Server;
 use crate::shares::{self, Shares};
 
@@ -66,8 +67,7 @@
     pub place: &'a Place,
     /// Failure domains that get no requests.
     pub evacuated: &'a [DomainName],
-    /// Round-trip time to each region, milliseconds.
-    pub rtts_ms: &'a BTreeMap<RegionName, f64>,
+    pub round_trips: &'a BTreeMap<RegionName, RoundTrip>,
     /// Live entry VMs, this one included; empty until they are known.
     pub entries: &'a [EntryVm],
     /// Hash of the name of this entry VM.
@@ -242,10 +242,10 @@
         let mean_response_ms = self.mean_response_ms;
         let cost = |(rank, name): (usize, ServerName)| {
             let server = self.servers.get(&name)?;
-            let rtt_ms = context.rtts_ms.get(&server.place.region).copied();
+            let round_trip = context.round_trips.get(&server.place.region);
             let inputs = CostInputs {
                 mean_response_ms,
-                rtt_ms: rtt_ms.unwrap_or(0.0),
+                rtt_ms: round_trip.map_or(0.0, RoundTrip::mean_ms),
                 cached: rank == 0 || request.object.is_none(),
             };
             Some(Candidate {
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -33,9 +33,6 @@
 /// Longest time for which that body is awaited.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Connect timeout beyond twice the round-trip time to the server.
-const CONNECT_MARGIN: Duration = Duration::from_millis(200);
-
 /// Size of a typical request head, for counting the bytes sent over the link.
 const HEAD_BYTES: usize = 400;
 
@@ -244,19 +241,18 @@
     if let Some(connection) = state.pool.take(choice, outgoing.idempotent).await {
         return Ok(connection);
     }
-    let connect_timeout = connect_timeout(state, choice);
+    let region = &choice.place.region;
+    let connect_timeout = state.balancer.lock().connect_timeout(region);
     let started_at = Instant::now();
-    let connection = Connection::open(choice.addr, connect_timeout).await?;
+    let opened = Connection::open(choice.addr, connect_timeout).await;
     let took_ms = started_at.elapsed().as_secs_f64() * 1_000.0;
     let mut balancer = state.balancer.lock();
-    balancer.record_rtt(&choice.place.region, took_ms);
-    Ok(connection)
-}
-
-/// Timeout of a new connection to the server.
-pub fn connect_timeout<D: Dialect>(state: &State<D>, choice: &Choice) -> Duration {
-    let rtt_ms = state.balancer.lock().rtt_ms(&choice.place.region);
-    Duration::from_secs_f64(rtt_ms * 2.0 / 1_000.0) + CONNECT_MARGIN
+    match &opened {
+        Ok(_) => balancer.record_rtt(region, took_ms),
+        Err(Failure::Unreached) => balancer.record_connect_timeout(region),
+        Err(_) => {}
+    }
+    opened
 }
 
 /// Builds the request for this attempt; `None` when too little time is left.
--- a/crates/forward/src/crashes.rs
+++ b/crates/forward/src/crashes.rs
@@ -17,7 +17,6 @@
 use tokio::time::Instant;
 use world::{Error, ErrorKind, LockRank, RankedMutex, ServerName};
 
-use crate::attempt;
 use crate::connection::{Connection, Failure};
 use crate::dialect::Dialect;
 use crate::refusal::Refusal;
@@ -252,7 +251,7 @@
 /// Connects to a server whose connections broke. A server that refuses has crashed; an
 /// open connection is kept for later requests.
 async fn check_server<D: Dialect>(state: Arc<State<D>>, choice: Choice) {
-    let timeout = attempt::connect_timeout(&state, &choice);
+    let timeout = state.balancer.lock().connect_timeout(&choice.place.region);
     let opened = Connection::open(choice.addr, timeout).await;
     let refused = matches!(opened, Err(Failure::Refused));
     let is_leaving = || {
