Forward downloads over a narrow link as they arrive

Cause: a response up to 1 MiB was read whole before its first byte went out, and then paced at 85% of the link.

Change: a response with a length whose transmission takes 20 ms or more is forwarded as it arrives; its bytes still count against the link, its reservation goes with it, and its connection returns to the pool. Shorter ones are read whole as before, so that another server can take the place of one that breaks off. A response that breaks off is seen by its length. Test streamed: the first bytes come before the last are sent (fails with the decision taken out), no part looks complete.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt to send a request to a backend server and read its response.
 
 use std::future::poll_fn;
+use std::sync::Arc;
 use std::time::Duration;
 
 use affinity::{AttemptEnd, Choice};
@@ -14,16 +15,16 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 use world::unit::{as_ms, ms};
 
-use crate::body::{ResponseBody, Stream};
+use crate::body::{ResponseBody, Stream, StreamAccounts};
 use crate::connection::{Connection, Failure};
 use crate::dialect::{AttemptHead, Dialect, RequestHead, ResponseHead};
-use crate::large::Reservation;
-use crate::pace::SHORT_MAX_BYTES;
+use crate::large::{self, Reservation};
+use crate::pace::{CHUNK_BYTES, SHORT_MAX_BYTES};
 use crate::restrictions;
 use crate::state::State;
 
-/// Responses up to this size are read completely before the first byte is
-/// forwarded, so that a truncated response can be retried.
+/// Responses up to this size, but for downloads over a narrow link, are read completely
+/// before the first byte is forwarded, so that a truncated response can be retried.
 const WHOLE_MAX_BYTES: usize = 1 << 20;
 
 /// Most bytes that are read of the body of a refusal, to keep its connection. The client
@@ -58,7 +59,7 @@
     /// Whether the request is idempotent, so that it may run twice.
     pub idempotent: bool,
     /// Link capacity reserved for the response, if the route is a download.
-    pub reserved: Option<Reservation>,
+    pub reserved: Option<Arc<Reservation>>,
 }
 
 /// A response of a backend server.
@@ -184,7 +185,7 @@
         let bound = Instant::now() + REFUSAL_BODY_TIMEOUT;
         (REFUSAL_MAX_BYTES, deadline.min(bound))
     } else {
-        (WHOLE_MAX_BYTES, deadline)
+        (whole_max_bytes(state, outgoing, &body), deadline)
     };
     let reading = read_body(state, outgoing, &mut connection, body, max_bytes);
     let received = match timeout_at(read_until, reading).await {
@@ -204,12 +205,37 @@
         }
         ReadBody::Partial(start, rest) => {
             let end = outgoing.client_deadline;
-            ResponseBody::Stream(Box::new(Stream::new(start, rest, connection, end)))
+            let pool = (!closes).then(|| (Arc::clone(&state.pool), choice.clone()));
+            let accounts = StreamAccounts {
+                reserved: outgoing.reserved.clone(),
+                pace_in: Arc::clone(&state.pace_in),
+                pace_out: Arc::clone(&state.pace_out),
+                pool,
+            };
+            let stream = Stream::new(start, rest, connection, end, accounts);
+            ResponseBody::Stream(Box::new(stream))
         }
     };
     classify(head, body, &reply)
 }
 
+/// Returns how many bytes of a response are read before it is forwarded.
+fn whole_max_bytes<D: Dialect>(
+    state: &State<D>,
+    outgoing: &OutgoingRequest,
+    body: &Incoming,
+) -> usize {
+    let len = body.size_hint().exact();
+    let is_streamed = |len| large::is_streamed(len, &state.pace_out);
+    if outgoing.reserved.is_some() && len.is_some_and(is_streamed) {
+        if let Some(len) = len.and_then(|len| usize::try_from(len).ok()) {
+            state.large_size.record(len);
+        }
+        return SHORT_MAX_BYTES;
+    }
+    WHOLE_MAX_BYTES
+}
+
 /// Classifies a complete or streamed response by its head.
 fn classify(head: response::Parts, body: ResponseBody, reply: &ResponseHead) -> AttemptResult {
     if reply.replaced {
@@ -308,7 +334,11 @@
 ) -> Option<ReadBody> {
     let mut whole = BytesMut::new();
     if let Some(len) = body.size_hint().exact() {
-        whole.reserve(usize::try_from(len).unwrap_or(0).min(max_bytes));
+        whole.reserve(
+            usize::try_from(len)
+                .unwrap_or(0)
+                .min(max_bytes + CHUNK_BYTES),
+        );
     }
     loop {
         if whole.len() > max_bytes {
--- a/crates/forward/src/body.rs
+++ b/crates/forward/src/body.rs
@@ -5,13 +5,16 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
+use affinity::Choice;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::connection::Connection;
+use crate::large::Reservation;
 use crate::pace::{CHUNK_BYTES, Pacer, SHORT_MAX_BYTES};
+use crate::pool::Pool;
 
 /// Body of a response to a client.
 pub enum ResponseBody {
@@ -44,14 +47,37 @@
     }
 }
 
-/// A body that is forwarded as it arrives. Its connection is closed at the end.
+/// A body that is forwarded as it arrives.
 pub struct Stream {
     start: Option<Bytes>,
     start_len: u64,
     rest: Incoming,
-    connection: Connection,
+    /// Until the end of the body.
+    connection: Option<Connection>,
     /// When the client no longer waits.
     end: Pin<Box<Sleep>>,
+    accounts: StreamAccounts,
+}
+
+/// Where a streamed body is accounted for.
+pub struct StreamAccounts {
+    /// Capacity of the link reserved for the body.
+    pub reserved: Option<Arc<Reservation>>,
+    /// Bytes received over the link.
+    pub pace_in: Arc<Pacer>,
+    /// Bytes sent over the link.
+    pub pace_out: Arc<Pacer>,
+    /// Pool that gets the connection to this server after the body, unless it closes.
+    pub pool: Option<(Arc<Pool>, Choice)>,
+}
+
+impl StreamAccounts {
+    fn count(&self, bytes: usize) {
+        let reserved = self.reserved.as_ref();
+        let uncovered = reserved.map_or(bytes, |reserved| reserved.consume(bytes));
+        self.pace_in.count(uncovered);
+        self.pace_out.count(bytes);
+    }
 }
 
 /// Why a body ended early.
@@ -68,13 +94,53 @@
 impl Stream {
     /// Forwards `start`, then `rest` as it arrives over `connection` until `deadline`.
     #[must_use]
-    pub fn new(start: Bytes, rest: Incoming, connection: Connection, deadline: Instant) -> Self {
+    pub fn new(
+        start: Bytes,
+        rest: Incoming,
+        connection: Connection,
+        deadline: Instant,
+        accounts: StreamAccounts,
+    ) -> Self {
+        // The rest is counted as it arrives.
+        accounts.pace_out.count(start.len());
         Self {
             end: Box::pin(sleep_until(deadline)),
             start_len: start.len() as u64,
             start: (!start.is_empty()).then_some(start),
             rest,
-            connection,
+            connection: Some(connection),
+            accounts,
+        }
+    }
+
+    fn poll_rest(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let Some(connection) = &mut self.connection else {
+            return Poll::Ready(None);
+        };
+        if self.end.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Some(Err(BodyError::Late)));
+        }
+        let Poll::Ready(frame) = connection.poll_body(&mut self.rest, cx) else {
+            return Poll::Pending;
+        };
+        if let Some(Ok(frame)) = &frame {
+            self.accounts.count(frame.data_ref().map_or(0, Bytes::len));
+        }
+        if frame.is_none() || self.rest.is_end_stream() {
+            self.keep_connection(cx);
+        }
+        Poll::Ready(frame.map(|frame| Ok(frame?)))
+    }
+
+    /// Returns the connection to the pool if it can carry another request.
+    fn keep_connection(&mut self, cx: &mut Context<'_>) {
+        let Some(mut connection) = self.connection.take() else {
+            return;
+        };
+        if let Some((pool, choice)) = self.accounts.pool.take()
+            && connection.poll_usable(cx)
+        {
+            pool.keep(&choice, connection);
         }
     }
 }
@@ -121,17 +187,7 @@
                 if let Some(start) = stream.start.take() {
                     return Poll::Ready(Some(Ok(Frame::data(start))));
                 }
-                let Stream {
-                    rest,
-                    connection,
-                    end,
-                    ..
-                } = &mut **stream;
-                if end.as_mut().poll(cx).is_ready() {
-                    return Poll::Ready(Some(Err(BodyError::Late)));
-                }
-                let frame = connection.poll_body(rest, cx);
-                frame.map(|frame| frame.map(|frame| Ok(frame?)))
+                stream.poll_rest(cx)
             }
         }
     }
--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -105,11 +105,12 @@
     /// Reads what arrived while the connection was idle; returns whether it can
     /// still carry a request.
     pub async fn is_usable(&mut self) -> bool {
-        poll_fn(|cx| {
-            self.drive(cx);
-            Poll::Ready(())
-        })
-        .await;
+        poll_fn(|cx| Poll::Ready(self.poll_usable(cx))).await
+    }
+
+    /// As [`Self::is_usable`], in a poll.
+    pub(crate) fn poll_usable(&mut self, cx: &mut Context<'_>) -> bool {
+        self.drive(cx);
         !self.ended && self.sender.is_ready()
     }
 
--- a/crates/forward/src/handler.rs
+++ b/crates/forward/src/handler.rs
@@ -171,7 +171,7 @@
     route: &Route,
     call: &RequestHead,
     deadline: Instant,
-) -> Result<Option<Reservation>, Refusal> {
+) -> Result<Option<Arc<Reservation>>, Refusal> {
     if route.kind != RequestKind::Download {
         return Ok(None);
     }
@@ -194,7 +194,7 @@
         state.request_log.link_wait(call, wait);
         sleep_until((Instant::now() + wait).min(deadline)).await;
     }
-    Ok(Some(reserved))
+    Ok(Some(Arc::new(reserved)))
 }
 
 /// Milliseconds since a request arrived.
--- a/crates/forward/src/large.rs
+++ b/crates/forward/src/large.rs
@@ -1,6 +1,6 @@
-//! Admission of requests with large responses. Such a request waits for link
-//! capacity before it is sent, so that the backlog of large responses, behind
-//! which short ones wait, stays bounded.
+//! Admission of requests with large responses, and which of these are forwarded as they
+//! arrive. Such a request waits for link capacity before it is sent, so that the backlog of
+//! large responses, behind which short ones wait, stays bounded.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -22,6 +22,18 @@
 /// The moving mean of sizes gives a new size the weight 1 / `MEAN_SAMPLES`.
 const MEAN_SAMPLES: usize = 20;
 
+/// Transmission time over this machine's link from which a response is forwarded as it
+/// arrives, instead of once it is complete: below it, a second attempt in place of a
+/// response that breaks off is worth more than the time.
+const STREAMED_FROM: Duration = Duration::from_millis(20);
+
+/// Returns whether a response of this length is forwarded as it arrives over a link with
+/// this rate. Its client sees that it breaks off, by its length.
+#[must_use]
+pub fn is_streamed(bytes: u64, pace: &Pacer) -> bool {
+    usize::try_from(bytes).is_ok_and(|bytes| pace.transmit_time(bytes) >= STREAMED_FROM)
+}
+
 /// When a request with a large response may be sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LinkAdmission {
--- a/crates/forward/src/pace.rs
+++ b/crates/forward/src/pace.rs
@@ -93,7 +93,9 @@
         100 * as_ms(used) / as_ms(since).max(1)
     }
 
-    fn transmit_time(&self, bytes: usize) -> Duration {
+    /// Returns how long the link takes for these bytes.
+    #[must_use]
+    pub fn transmit_time(&self, bytes: usize) -> Duration {
         let bytes = f64::from(u32::try_from(bytes).unwrap_or(u32::MAX));
         Duration::from_secs_f64(bytes / self.bytes_per_s)
     }
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -69,7 +69,7 @@
     /// Findings of this entry VM and of others.
     pub findings: Findings,
     /// Idle connections.
-    pub pool: Pool,
+    pub pool: Arc<Pool>,
     /// Pacing of bytes received over this machine's link.
     pub pace_in: Arc<Pacer>,
     /// Pacing of bytes sent over this machine's link.
@@ -105,7 +105,7 @@
             confirmed_at: RankedMutex::new(LockRank::Members, None),
             crashes: Crashes::default(),
             findings: Findings::default(),
-            pool: Pool::default(),
+            pool: Arc::default(),
             pace_in: Arc::new(Pacer::new(settings.link_bytes_per_s)),
             large_size: MeanSize::default(),
             busy_percent: AtomicU32::new(0),
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -50,6 +50,9 @@
     /// Sends this many bytes of the text, in which ID stands for the request's id, and
     /// ends the connection.
     Truncated(&'static str, usize, ConnectionEnd),
+    /// Sends the head of a response of [`LARGE_BYTES`] and this many of its bytes, and the
+    /// rest this time later, milliseconds; without a time it closes the connection.
+    Large(usize, Option<u64>),
     /// Responds and reports that it is leaving.
     Leaving,
     /// Reports that it did not run the request, and wants no requests for this time, milliseconds.
@@ -69,6 +72,9 @@
     Fail,
 }
 
+/// Length of a large response: 200 ms on a link of 3.3 Mbit a second.
+pub const LARGE_BYTES: usize = 80_000;
+
 /// How a stub server goes on with a connection after a response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ConnectionEnd {
@@ -194,6 +200,20 @@
                 }
                 String::new()
             }
+            Behaviour::Large(start, rest_after_ms) => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: 1\r\ncontent-length: {LARGE_BYTES}\r\n\r\n"
+                );
+                let start_text = head + &"x".repeat(start);
+                if stream.write_all(start_text.as_bytes()).await.is_err() {
+                    return Ended::Connection;
+                }
+                let Some(rest_after_ms) = rest_after_ms else {
+                    return Ended::Connection;
+                };
+                sleep(Duration::from_millis(rest_after_ms)).await;
+                "x".repeat(LARGE_BYTES - start)
+            }
             Behaviour::Truncated(text, len, end) => {
                 let text = text.replace("ID", &id);
                 let _ = stream.write_all(&text.as_bytes()[..len]).await;
@@ -382,8 +402,17 @@
     pub close: watch::Sender<bool>,
 }
 
-/// Starts an entry VM with these catalog items and servers.
+/// Starts an entry VM with these catalog items and servers, on a fast link.
 pub async fn entry(items: &[Item], servers: &[&StubServer]) -> Entry {
+    entry_on_link(items, servers, 1e9).await
+}
+
+/// Starts an entry VM whose link has this rate, bytes a second.
+pub async fn entry_on_link(
+    items: &[Item],
+    servers: &[&StubServer],
+    link_bytes_per_s: f64,
+) -> Entry {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
     let addr = listener.local_addr().expect("address");
     let place = place();
@@ -391,7 +420,7 @@
         front: addr,
         seeds: Vec::new(),
         link_port: 1,
-        link_bytes_per_s: 1e9,
+        link_bytes_per_s,
         secret: Secret::new("tests"),
         balancer: affinity::Settings {
             name: MachineName::new("entry-1").expect("name"),
