--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -166,9 +166,6 @@
             received.push((id.clone(), left_ms));
             received.len() - 1
         };
-        let answer = |id: &str| {
-            format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: 1\r\ncontent-length: 4\r\n\r\ngood")
-        };
         let text = match behaviours[position.min(behaviours.len() - 1)] {
             Behaviour::Answer(after_ms) => {
                 sleep(Duration::from_millis(after_ms)).await;
@@ -273,6 +270,11 @@
     taken
 }
 
+/// Response with a body.
+fn answer(id: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: 1\r\ncontent-length: 4\r\n\r\ngood")
+}
+
 /// Response that reports that the request was not run.
 fn shed(id: &str) -> String {
     format!("HTTP/1.1 503 Full\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n")
