Encode a whole registry once for all readers that need one

Each entry VM fetches every row from two control VMs at the start and after each restart of one; 3,300 rows are 280 kB, for about a hundred readers a control VM, encoded for each of them. That takes longer than a reader waits, so it turns to another control VM and asks for all again.

--- a/crates/routed_control/src/control_vm.rs
+++ b/crates/routed_control/src/control_vm.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
+use bytes::Bytes;
 use catalog::Catalog;
 use control::Group;
 use discovery::{
@@ -20,11 +21,12 @@
 use world::{Error, ErrorKind, LockRank, MachineName, Place, RankedMutex, Result};
 
 use crate::cache::{Cache, CachedRows};
-use crate::feed::{FeedRequest, FeedResponse, Reader};
+use crate::feed::{self, FeedRequest, FeedResponse, Reader};
 use crate::feed_reader;
 use crate::replication_transport::{CATALOG_GROUP, PeerTransport};
 use crate::serve::MessageHandler;
 use crate::settings::{Settings, name_of};
+use crate::whole::WholeResponses;
 
 /// Longest time that a feed request waits for a change, and so the interval at which
 /// readers announce themselves. Four of these fit into
@@ -61,6 +63,8 @@
     newest_row: watch::Sender<u64>,
     /// Version of the registry's newest change that matters to entry VMs, which watch it.
     newest_change: watch::Sender<u64>,
+    /// Responses to entry VMs without a cursor.
+    whole: WholeResponses,
     /// Random id of this start.
     boot: u64,
     sequence: AtomicU64,
@@ -101,6 +105,7 @@
             ),
             newest_row: watch::Sender::new(0),
             newest_change: watch::Sender::new(0),
+            whole: WholeResponses::default(),
             boot: rand::random::<u64>().max(1),
             sequence: AtomicU64::new(1),
             started_at: Instant::now(),
@@ -247,8 +252,12 @@
         ips
     }
 
-    /// Handles a feed request. Waits up to 500 ms for a change.
-    pub async fn feed(&self, request: FeedRequest) -> FeedResponse {
+    /// Handles a feed request. Waits up to 500 ms for a change. Returns the encoded
+    /// response.
+    ///
+    /// # Errors
+    /// [`ErrorKind::Internal`] when the response can't be encoded.
+    pub async fn feed(&self, request: FeedRequest) -> Result<Bytes> {
         let FeedRequest {
             reader,
             me,
@@ -278,7 +287,16 @@
             Reader::Entry => self.await_change(cursor, catalog_index, wait_until).await,
             Reader::Control => self.await_row(cursor, wait_until).await,
         }
-        self.response(reader, cursor, catalog_index, &relayed)
+        let whole = cursor == 0 && reader == Reader::Entry;
+        let now = Instant::now();
+        if whole && let Some(payload) = self.whole.get(catalog_index, now) {
+            return Ok(payload);
+        }
+        let payload = feed::encode(&self.response(reader, cursor, catalog_index, &relayed))?;
+        if whole {
+            self.whole.keep(&payload, catalog_index, now);
+        }
+        Ok(payload)
     }
 
     /// Waits for a change of the registry or of the catalog that matters to entry VMs.
--- a/crates/routed_control/src/lib.rs
+++ b/crates/routed_control/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod replication_transport;
 pub mod serve;
 pub mod settings;
+pub mod whole;
 
 pub use control_vm::ControlVm;
 pub use feed::{FeedRequest, FeedResponse, Reader};
--- a/crates/routed_control/src/serve.rs
+++ b/crates/routed_control/src/serve.rs
@@ -30,8 +30,10 @@
                 Ok(None)
             }
             Body::FeedRequest(request) => {
-                let response = self.control_vm.feed(feed::decode(&request.payload)?).await;
-                let payload = feed::encode(&response)?;
+                let payload = self
+                    .control_vm
+                    .feed(feed::decode(&request.payload)?)
+                    .await?;
                 Ok(Some(Body::FeedResponse(Feed { payload })))
             }
             Body::CommandRequest(request) => {
