--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -8,10 +8,12 @@
 
 pub mod finding;
 pub mod near;
+mod record;
 pub mod registry;
 pub mod row;
 
 pub use finding::{Departure, Finding, FindingKey, ServerLimit};
 pub use near::SubstituteScope;
-pub use registry::{Origin, Registry, RegistrySettings};
+pub use record::Origin;
+pub use registry::{Registry, RegistrySettings};
 pub use row::{ControlRow, EntryRow, Key, Row, ServerRow, Update};
--- a/crates/discovery/src/registry.rs
+++ b/crates/discovery/src/registry.rs
@@ -15,23 +15,13 @@
 use world::{MachineName, ServerName};
 
 use crate::finding::Finding;
+use crate::record::{Origin, Record};
 use crate::row::{ControlRow, Key, Row, ServerRow, Update};
 
 /// Most findings that are kept: some crashes of servers with a hundred requests each,
 /// at about 30 bytes a finding.
 const FINDINGS_MAX: usize = 4_096;
 
-/// Where a control VM has a row from.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Origin {
-    /// The machine or server announced itself to this control VM.
-    Here,
-    /// Another control VM sent it.
-    ControlVm(MachineName),
-    /// It was stored before a restart of this control VM.
-    Cache,
-}
-
 /// Time between two sweeps from which on this process has been suspended or starved, so
 /// that it may not have read the announcements that arrived meanwhile.
 const SWEEP_GAP_MAX: Duration = Duration::from_millis(1_500);
@@ -40,10 +30,6 @@
 /// 1.5 s and 0.5 s of network delay.
 const CATCH_UP_TIME: Duration = Duration::from_secs(2);
 
-/// Difference between two announced ends of a server's cold time that doesn't matter to
-/// entry VMs: network delay and the timers of the server.
-const COLD_END_TOLERANCE: Duration = Duration::from_millis(500);
-
 /// Settings of a [`Registry`].
 #[derive(Clone, Copy, Debug)]
 pub struct RegistrySettings {
@@ -69,20 +55,6 @@
     }
 }
 
-/// A row with its state in the registry.
-#[derive(Clone, Debug)]
-pub(crate) struct Record {
-    pub row: Row,
-    origin: Origin,
-    pub announced_at: Instant,
-    pub lost: bool,
-    /// Value of the registry's logical clock at the last announcement.
-    announced_clock: u64,
-    /// Value of the registry's logical clock at the last change that matters to entry
-    /// VMs.
-    changed: u64,
-}
-
 /// Registry of all known servers and machines. Its logical clock counts the
 /// applied announcements and detected losses.
 #[derive(Clone, Debug, Default)]
@@ -398,28 +370,3 @@
         })
     }
 }
-
-impl Record {
-    /// Returns whether a newer row, announced at `at`, is a change that matters to entry
-    /// VMs. While a server warms up, each of its announcements tells the end of that anew.
-    fn matters(&self, row: &Row, at: Instant) -> bool {
-        if self.lost || row.is_relevant_change_from(&self.row) {
-            return true;
-        }
-        let (Row::Server(new), Row::Server(old)) = (row, &self.row) else {
-            return false;
-        };
-        let end = |row: &ServerRow, announced_at: Instant| announced_at + ms(row.cold_ms);
-        let (new_end, old_end) = (end(new, at).max(at), end(old, self.announced_at).max(at));
-        let shift = new_end.max(old_end) - new_end.min(old_end);
-        shift > COLD_END_TOLERANCE
-    }
-
-    fn to_update(&self, now: Instant) -> Update {
-        Update {
-            row: self.row.clone(),
-            age_ms: as_ms(now.saturating_duration_since(self.announced_at)),
-            lost: self.lost,
-        }
-    }
-}
--- a/crates/routed_control/src/lib.rs
+++ b/crates/routed_control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod control_vm;
 pub mod feed;
 pub mod feed_reader;
+mod feed_responses;
 pub mod reach;
 pub mod replication_transport;
 pub mod serve;
