--- a/crates/routed_control/src/feed_responses.rs
+++ b/crates/routed_control/src/feed_responses.rs
@@ -13,7 +13,7 @@
 
 /// Longest time that a feed request waits for a change, and so the interval at which
 /// readers announce themselves. Four of these fit into
-/// [`RegistrySettings::machine_timeout_ms`].
+/// [`discovery::RegistrySettings::machine_timeout_ms`].
 const FEED_WAIT: Duration = Duration::from_millis(500);
 
 /// Least delay of a response to a reader with a cursor, in which changes are batched.
@@ -24,7 +24,7 @@
     /// response.
     ///
     /// # Errors
-    /// [`ErrorKind::Internal`] when the response can't be encoded.
+    /// [`world::ErrorKind::Internal`] when the response can't be encoded.
     pub async fn feed(&self, request: FeedRequest) -> Result<Bytes> {
         let FeedRequest {
             reader,
