--- a/review/standins/log_growth.rs
+++ b/review/standins/log_growth.rs
@@ -29,7 +29,7 @@
 const FIRST_VERSION: usize = 7;
 
 pub fn run(dir: &Path, record: &Arc<Record>, trouble: bool) -> std::io::Result<Verdict> {
-    let platform = Platform::start(dir, record, 0)?;
+    let platform = Platform::start(dir, record, 1, 0)?;
     let verdict = play(&platform, record, trouble);
     platform.stop();
     for machine in platform.machines.lock().unwrap().iter() {
@@ -75,23 +75,11 @@
     let Some(newest) = acknowledged else {
         return Err(std::io::Error::other("no change was accepted"));
     };
-    let start = Instant::now();
-    let mut answers = 0;
-    while start.elapsed() < READ_BACK {
-        if let Some(text) = operator.read() {
-            answers += 1;
-            if text.contains(&newest) {
-                record.line("operator: read back: the newest acknowledged version is there");
-                return Ok(Verdict::Held);
-            }
-        }
-        thread::sleep(Duration::from_millis(200));
-    }
-    record.line(&format!(
-        "operator: read back for {} s: {answers} answers, none with the newest acknowledged version",
-        READ_BACK.as_secs()
-    ));
-    Ok(Verdict::Broken)
+    Ok(if operator.read_back(&newest, READ_BACK) {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    })
 }
 
 fn route(at: usize, version: usize) -> String {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,7 @@
 mod operator;
 mod platform;
 mod record;
+mod replaced;
 mod server;
 mod uploads;
 
@@ -47,6 +48,7 @@
     record.line(&format!("case {case}, disruption: {trouble}"));
     let result = match case {
         "log-growth" => log_growth::run(&dir, &record, trouble),
+        "replaced" => replaced::run(&dir, &record, trouble),
         "uploads" => uploads::run(&dir, &record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/standins/operator.rs
+++ b/review/standins/operator.rs
@@ -27,6 +27,34 @@
         }
     }
 
+    /// Takes over the present list of control VMs.
+    pub fn set_controls(&mut self, controls: Vec<SocketAddr>) {
+        self.controls = controls;
+    }
+
+    /// Reads back for so long, or until an answer has the item.
+    pub fn read_back(&mut self, item: &str, time: Duration) -> bool {
+        let start = Instant::now();
+        let mut answers = 0;
+        while start.elapsed() < time {
+            if let Some(text) = self.read() {
+                answers += 1;
+                if text.contains(item) {
+                    let text = "operator: read back: the newest acknowledged version is there";
+                    self.record.line(text);
+                    return true;
+                }
+            }
+            thread::sleep(Duration::from_millis(200));
+        }
+        self.record.line(&format!(
+            "operator: read back for {} s: {answers} answers, none with the newest \
+             acknowledged version",
+            time.as_secs()
+        ));
+        false
+    }
+
     /// Sends a change until it is acknowledged; returns whether it was within `patience`.
     pub fn change(&mut self, what: &str, body: &str, patience: Duration) -> bool {
         let start = Instant::now();
@@ -68,7 +96,7 @@
     }
 
     /// Reads the configuration from one node.
-    pub fn read(&mut self) -> Option<String> {
+    fn read(&mut self) -> Option<String> {
         let addr = self.controls[self.next % self.controls.len()];
         self.next += 1;
         match http::call(addr, "GET", "/config/get", &[], Duration::from_secs(3)) {
--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -24,6 +24,15 @@
 const CONTROL_MEMORY_MB: u64 = 256;
 const ENTRY_MEMORY_MB: u64 = 260;
 
+/// Position of the first control VM that replaces another, in its zone.
+const FIRST_SUCCESSOR: usize = 4;
+
+/// Position of the first entry VM in its zone.
+const FIRST_ENTRY: usize = 8;
+
+/// Positions in a zone.
+const MACHINES_MAX: usize = 10;
+
 /// Delay after which a process that has ended is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(500);
 
@@ -50,20 +59,30 @@
 }
 
 impl Platform {
-    /// Starts a control VM in each zone, and `entries` entry VMs in each zone.
-    pub fn start(dir: &Path, record: &Arc<Record>, entries: usize) -> std::io::Result<Arc<Self>> {
+    /// Starts so many control VMs and entry VMs in each zone.
+    pub fn start(
+        dir: &Path,
+        record: &Arc<Record>,
+        controls: usize,
+        entries: usize,
+    ) -> std::io::Result<Arc<Self>> {
         let mut machines = Vec::new();
-        let (net, port) = free_net(entries)?;
-        for (zone, (name, _)) in ZONES.iter().enumerate() {
-            machines.push(Machine::new(
-                "control",
-                zone,
-                ip(net, zone, 0),
-                format!("core-{name}-1"),
-            ));
-            for at in 1..=entries {
-                let name = format!("front-{name}-{at}");
-                machines.push(Machine::new("entry", zone, ip(net, zone, at), name));
+        let (net, port) = free_net()?;
+        for at in 0..controls {
+            for (zone, (name, _)) in ZONES.iter().enumerate() {
+                let name = format!("core-{name}-{}", at + 1);
+                machines.push(Machine::new("control", zone, ip(net, zone, at), name));
+            }
+        }
+        for at in 0..entries {
+            for (zone, (name, _)) in ZONES.iter().enumerate() {
+                let name = format!("front-{name}-{}", at + 1);
+                machines.push(Machine::new(
+                    "entry",
+                    zone,
+                    ip(net, zone, FIRST_ENTRY + at),
+                    name,
+                ));
             }
         }
         let platform = Arc::new(Self {
@@ -74,9 +93,9 @@
             stopped: AtomicBool::new(false),
         });
         let mut machines = platform.machines.lock().unwrap();
-        let controls = controls_of(&machines, port);
+        let seeds = seeds_of(&machines, port);
         for machine in machines.iter_mut() {
-            platform.launch(machine, &controls, true)?;
+            platform.launch(machine, &seeds, true)?;
         }
         drop(machines);
         let supervised = Arc::clone(&platform);
@@ -105,11 +124,11 @@
     fn launch(
         &self,
         machine: &mut Machine,
-        controls: &[SocketAddr],
+        seeds: &[SocketAddr],
         bootstrap: bool,
     ) -> std::io::Result<()> {
         let path = self.dir.join(format!("{}.json", machine.name));
-        fs::write(&path, self.settings(machine, controls, bootstrap))?;
+        fs::write(&path, self.settings(machine, seeds, bootstrap))?;
         let log = File::options()
             .create(true)
             .append(true)
@@ -132,14 +151,14 @@
     }
 
     /// Settings as `deploy/settings.json.in` renders them.
-    fn settings(&self, machine: &Machine, controls: &[SocketAddr], bootstrap: bool) -> String {
+    fn settings(&self, machine: &Machine, seeds: &[SocketAddr], bootstrap: bool) -> String {
         let (zone, region) = ZONES[machine.zone];
         let (ip, port) = (machine.ip, self.port);
         let zones: Vec<String> = ZONES
             .iter()
             .map(|(z, r)| format!("\"{z}\":\"{r}\""))
             .collect();
-        let seeds: Vec<String> = controls.iter().map(|addr| format!("\"{addr}\"")).collect();
+        let seeds: Vec<String> = seeds.iter().map(|addr| format!("\"{addr}\"")).collect();
         let control = machine.role == "control";
         let (listen, data_dir, memory_mb) = if control {
             let dir = self.dir.join(&machine.name);
@@ -190,19 +209,19 @@
         while !self.stopped.load(Ordering::Relaxed) {
             {
                 let mut machines = self.machines.lock().unwrap();
-                let controls = controls_of(&machines, self.port);
+                let seeds = seeds_of(&machines, self.port);
                 for machine in machines.iter_mut() {
-                    self.check(machine, &controls);
+                    self.check(machine, &seeds);
                 }
             }
             thread::sleep(Duration::from_millis(20));
         }
     }
 
-    fn check(&self, machine: &mut Machine, controls: &[SocketAddr]) {
+    fn check(&self, machine: &mut Machine, seeds: &[SocketAddr]) {
         if let Some(at) = machine.ended_at {
             if at.elapsed() >= RESTART_DELAY && !self.stopped.load(Ordering::Relaxed) {
-                if let Err(error) = self.launch(machine, controls, false) {
+                if let Err(error) = self.launch(machine, seeds, false) {
                     self.record
                         .line(&format!("platform: {}: {error}", machine.name));
                 }
@@ -237,6 +256,40 @@
         machine.ends += 1;
     }
 
+    /// Takes a control VM away for good.
+    pub fn remove(&self, name: &str) {
+        let mut machines = self.machines.lock().unwrap();
+        let found = machines.iter().position(|machine| machine.name == name);
+        let Some(mut machine) = found.map(|at| machines.remove(at)) else {
+            return;
+        };
+        if let Some(mut child) = machine.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        self.record
+            .line(&format!("platform: {name} is gone for good"));
+    }
+
+    /// Starts an empty control VM at another address in the zone.
+    pub fn add_control(&self, zone: usize) -> std::io::Result<()> {
+        let mut machines = self.machines.lock().unwrap();
+        let seeds = seeds_of(&machines, self.port);
+        let [_, net, _, _] = machines[0].ip.octets();
+        let in_zone = |m: &&Machine| m.role == "control" && m.zone == zone;
+        let last = machines
+            .iter()
+            .filter(in_zone)
+            .map(|m| m.ip.octets()[3])
+            .max();
+        let at = usize::from(last.unwrap_or(0)).max(FIRST_SUCCESSOR);
+        let name = format!("core-{}-{}", ZONES[zone].0, at + 1);
+        let mut machine = Machine::new("control", zone, ip(net, zone, at), name);
+        self.launch(&mut machine, &seeds, false)?;
+        machines.push(machine);
+        Ok(())
+    }
+
     /// Ends all processes.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::Relaxed);
@@ -265,6 +318,13 @@
     }
 }
 
+/// The three seeds: the first control VMs of the operator's list.
+fn seeds_of(machines: &[Machine], port: u16) -> Vec<SocketAddr> {
+    let mut seeds = controls_of(machines, port);
+    seeds.truncate(3);
+    seeds
+}
+
 fn controls_of(machines: &[Machine], port: u16) -> Vec<SocketAddr> {
     let controls = machines.iter().filter(|m| m.role == "control");
     controls
@@ -278,7 +338,7 @@
 }
 
 /// Finds a part of the loopback range where the ports of all machines are free.
-fn free_net(entries: usize) -> std::io::Result<(u8, u16)> {
+fn free_net() -> std::io::Result<(u8, u16)> {
     let seed = std::process::id();
     for attempt in 0..50 {
         let net = 10 + u8::try_from((seed + attempt) % 200).expect("below 256");
@@ -288,7 +348,8 @@
                 .iter()
                 .all(|offset| TcpListener::bind((ip, port + offset)).is_ok())
         };
-        let mut all = (0..ZONES.len()).flat_map(|z| (0..=entries).map(move |at| ip(net, z, at)));
+        let mut all =
+            (0..ZONES.len()).flat_map(|zone| (0..MACHINES_MAX).map(move |at| ip(net, zone, at)));
         if all.all(free) {
             return Ok((net, port));
         }
--- a/review/standins/uploads.rs
+++ b/review/standins/uploads.rs
@@ -53,7 +53,7 @@
 }
 
 pub fn run(dir: &Path, record: &Arc<Record>, trouble: bool) -> std::io::Result<Verdict> {
-    let platform = Platform::start(dir, record, 1)?;
+    let platform = Platform::start(dir, record, 1, 1)?;
     let verdict = play(&platform, record, trouble);
     platform.stop();
     for machine in platform.machines.lock().unwrap().iter() {
