Send the uploads of case 5 at a rate that leaves the link half free

Cause: uploads at the speed of loopback could count as a choked link. Change: each of the four uploads is sent at 100 Mbit/s.

--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -2,7 +2,10 @@
 
 use std::io::{BufRead, BufReader, Error, ErrorKind, Result, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const CHUNK_BYTES: usize = 128 * 1024;
 
 /// Head of a request or a response, with lower-case header names.
 pub struct Head {
@@ -83,6 +86,8 @@
 /// A client's connection, which may carry several requests.
 pub struct Connection {
     reader: BufReader<TcpStream>,
+    /// Rate at which bodies are sent; as fast as possible if 0.
+    pub bytes_per_s: usize,
 }
 
 impl Connection {
@@ -93,6 +98,7 @@
         stream.set_write_timeout(Some(timeout))?;
         Ok(Self {
             reader: BufReader::new(stream),
+            bytes_per_s: 0,
         })
     }
 
@@ -114,7 +120,16 @@
         head += "\r\n";
         let stream = self.reader.get_mut();
         stream.write_all(head.as_bytes())?;
-        stream.write_all(body)?;
+        let start = Instant::now();
+        let mut sent = 0;
+        for chunk in body.chunks(CHUNK_BYTES) {
+            stream.write_all(chunk)?;
+            sent += chunk.len();
+            if let Some(due_ms) = (sent * 1_000).checked_div(self.bytes_per_s) {
+                let due = Duration::from_millis(due_ms as u64);
+                thread::sleep(due.saturating_sub(start.elapsed()));
+            }
+        }
         let Some(head) = read_head(&mut self.reader)? else {
             return Err(ErrorKind::UnexpectedEof.into());
         };
--- a/review/standins/uploads.rs
+++ b/review/standins/uploads.rs
@@ -22,6 +22,10 @@
 /// Size of an uploaded body, within `max_body_bytes`.
 const UPLOAD_BYTES: usize = 64_000_000;
 
+/// Rate of one upload: 100 Mbit/s, so that all together take less than half of the entry
+/// VM's link of 1,000 Mbit/s.
+const UPLOAD_BYTES_PER_S: usize = 12_500_000;
+
 /// Clients of the zone that upload a body each.
 const UPLOADERS: usize = 4;
 
@@ -223,7 +227,10 @@
             .resolve()
             .ok_or(ErrorKind::NotFound.into())
             .and_then(|addr| Connection::open(addr, timeout))
-            .and_then(|mut connection| connection.call("POST", "/upload/u", &headers, &body));
+            .and_then(|mut connection| {
+                connection.bytes_per_s = UPLOAD_BYTES_PER_S;
+                connection.call("POST", "/upload/u", &headers, &body)
+            });
         let took = start.elapsed().as_secs_f64();
         match sent {
             Ok((head, _)) => self
