Read back a disk after a failed write

Cause: a replica took no more steps, for as long as its process ran, after the first write that failed. The leader of such a process also counted as leader there. Change: the replica stops only until the disk has been read back, with an exponential delay, into a new file. It keeps what its state machine has applied, and neither leads nor counts as current meanwhile. A save of the server cache that failed is repeated. Why it works: a failed write leaves the content unknown only until it has been read; what follows equals a restart, which the simulations of the group cover.

--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -14,7 +14,8 @@
 use quorum::{ElectionState, Settings, Ticket};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+use world::unit::as_ms;
 use world::{Error, ErrorKind, LockRank, MachineName, RankedMutex, Result};
 
 /// Replication transport: sends the messages of a group to other machines.
@@ -29,12 +30,19 @@
 
 type ResultSender<M> = oneshot::Sender<CallResult<M>>;
 
+/// Delay before the first attempt to read back a disk after a failed write; it doubles
+/// with each attempt up to [`RECOVERY_DELAY_MAX`].
+const RECOVERY_DELAY_MIN: Duration = Duration::from_millis(50);
+
+/// Longest delay between two attempts to read back a failed disk.
+const RECOVERY_DELAY_MAX: Duration = Duration::from_millis(800);
+
 /// State of a running replica, guarded by the lock of its [`Group`].
 struct GroupState<M: StateMachine> {
     replica: Replica<M>,
     /// Proposals and reads that wait for their outcome.
     waiting: HashMap<Ticket, ResultSender<M>>,
-    /// Error of the disk, after which the replica takes no more steps.
+    /// Error of the disk; the replica takes no steps until the disk is read back.
     failed: Option<Error>,
     /// Leader in the last log message about it.
     logged_leader: Option<MachineName>,
@@ -160,9 +168,12 @@
         self.state.lock().replica.status(Instant::now())
     }
 
-    /// Machine of the leader, as far as this replica knows.
+    /// Machine of the leader, as far as this replica knows; `None` while its disk has
+    /// failed.
     pub fn leader(&self) -> Option<MachineName> {
-        self.state.lock().replica.leader().cloned()
+        let state = self.state.lock();
+        let leader = state.replica.leader().filter(|_| state.failed.is_none());
+        leader.cloned()
     }
 
     /// Watches the index of the last log entry that this replica has applied.
@@ -171,17 +182,20 @@
     }
 
     /// Whether this replica leads, or has received a message from a leader within
-    /// the minimum election timeout.
+    /// the minimum election timeout; false while its disk has failed.
     pub fn is_current(&self) -> bool {
-        self.state.lock().replica.has_recent_leader(Instant::now())
+        let state = self.state.lock();
+        state.failed.is_none() && state.replica.has_recent_leader(Instant::now())
     }
 
-    /// Whether this replica leads.
+    /// Whether this replica leads; false while its disk has failed.
     pub fn is_leader(&self) -> bool {
-        self.state.lock().replica.is_leader()
+        let state = self.state.lock();
+        state.failed.is_none() && state.replica.is_leader()
     }
 
-    /// Error of the disk, if it has failed and this replica has stopped.
+    /// Error of the disk, while it has failed and this replica takes no part in the
+    /// group.
     pub fn failed(&self) -> Option<Error> {
         self.state.lock().failed.clone()
     }
@@ -261,7 +275,8 @@
         }
     }
 
-    /// Stores batches of records one after another until the disk fails.
+    /// Stores batches of records one after another. After a failed write, reads back
+    /// the disk and goes on from its content.
     async fn run_writer<D: Disk + Send + 'static>(self: Arc<Self>, mut disk: D) {
         loop {
             let Some(batch) = self.next_batch() else {
@@ -269,35 +284,79 @@
                 continue;
             };
             let seq = batch.seq;
-            let stored = tokio::task::spawn_blocking(move || {
-                let result = disk.store(&batch.records);
-                (disk, result)
-            });
-            let Ok((same_disk, result)) = stored.await else {
-                return self.fail(Error::new(ErrorKind::Internal, "storing was broken off"));
-            };
+            let (same_disk, result) =
+                match on_blocking(disk, move |d| d.store(&batch.records)).await {
+                    Ok(stored) => stored,
+                    Err(error) => return self.fail(error),
+                };
             disk = same_disk;
             if let Err(error) = result {
-                return self.fail(error);
+                self.fail(error);
+                disk = match self.recover(disk).await {
+                    Ok(recovered) => recovered,
+                    Err(error) => return self.fail(error),
+                };
+                continue;
             }
             self.step(|replica, now| replica.stored(seq, now));
         }
     }
 
+    /// Tries to read back the failed disk until that succeeds, and lets the replica go
+    /// on from its content.
+    async fn recover<D: Disk + Send + 'static>(&self, mut disk: D) -> Result<D> {
+        let failed_at = Instant::now();
+        let mut delay = RECOVERY_DELAY_MIN;
+        loop {
+            sleep(delay).await;
+            delay = RECOVERY_DELAY_MAX.min(delay * 2);
+            let (same_disk, recovered) = on_blocking(disk, Disk::recover).await?;
+            disk = same_disk;
+            match recovered {
+                Ok(stored) => {
+                    let failed_ms = as_ms(failed_at.elapsed());
+                    log::info!(target: "group", failed_ms; "disk recovered");
+                    let mut state = self.state.lock();
+                    state.replica.recover(stored, Instant::now());
+                    state.failed = None;
+                    return Ok(disk);
+                }
+                Err(error) => log::debug!(target: "group", error:% = error; "disk not recovered"),
+            }
+        }
+    }
+
     fn next_batch(&self) -> Option<Batch> {
         self.state.lock().replica.take_batch()
     }
 
     /// Stops the replica after a disk error: the content of the disk is unknown, so
-    /// the replica must not send or acknowledge anything more.
+    /// the replica must not send or acknowledge anything.
     fn fail(&self, error: Error) {
-        log::error!(target: "group", error:% = error; "disk failed, replica stopped");
+        log::error!(target: "group", error:% = error; "disk failed");
         let mut state = self.state.lock();
         state.failed = Some(error);
         state.waiting.clear();
     }
 }
 
+/// Runs an operation of the disk on a blocking thread.
+async fn on_blocking<D, V>(
+    mut disk: D,
+    operation: impl FnOnce(&mut D) -> V + Send + 'static,
+) -> Result<(D, V)>
+where
+    D: Send + 'static,
+    V: Send + 'static,
+{
+    let run = tokio::task::spawn_blocking(move || {
+        let result = operation(&mut disk);
+        (disk, result)
+    });
+    run.await
+        .map_err(|e| Error::new(ErrorKind::Internal, format!("disk operation aborted: {e}")))
+}
+
 impl<M: StateMachine> GroupState<M> {
     /// Logs changes of the leader and the election state, and takes the output of
     /// the replica's last step.
--- a/crates/quorum/src/disk.rs
+++ b/crates/quorum/src/disk.rs
@@ -17,7 +17,16 @@
     /// during the write keeps either the whole batch or none of it.
     ///
     /// # Errors
-    /// [`world::ErrorKind::Damaged`] when the records may not be durable. The replica
-    /// must then stop, since the content of the disk is unknown.
+    /// [`world::ErrorKind::Damaged`] when the records may not be durable. The content of
+    /// the disk is then unknown: the replica must acknowledge nothing, and the disk
+    /// accepts no batch, until [`Disk::recover`] succeeds.
     fn store(&mut self, records: &[Record]) -> Result<()>;
+
+    /// Reads back the content after a failed write, and makes all of it durable. The
+    /// failed batch may be part of it.
+    ///
+    /// # Errors
+    /// [`world::ErrorKind::Damaged`] when the content can't be read or written, or is
+    /// that of another disk.
+    fn recover(&mut self) -> Result<Stored>;
 }
--- a/crates/quorum/src/file.rs
+++ b/crates/quorum/src/file.rs
@@ -29,7 +29,7 @@
     disk: DiskId,
     log: Option<File>,
     /// Set after a failed write: the content of the file is then unknown, and no
-    /// further write is accepted.
+    /// further write is accepted until it has been read back.
     failed: bool,
     _lock: File,
 }
@@ -126,6 +126,28 @@
         self.failed = result.is_err();
         result
     }
+
+    /// Copies the content to a new file. After a failed sync the pages of the old one
+    /// may count as clean without being on the disk, so that another sync of it would
+    /// prove nothing.
+    fn recover(&mut self) -> Result<Stored> {
+        self.log = None;
+        let path = self.folder.join(LOG_FILE);
+        let bytes = fs::read(&path).map_err(|e| io_error(&path, &e))?;
+        let (stored, _) = replay(&path, &bytes)?;
+        if stored.disk != self.disk {
+            let text = format!(
+                "{}: disk {}, not {}",
+                path.display(),
+                stored.disk,
+                self.disk
+            );
+            return Err(Error::new(ErrorKind::Damaged, text));
+        }
+        self.replace_log(&stored.records())?;
+        self.failed = false;
+        Ok(stored)
+    }
 }
 
 /// Replays the frames; also returns the offset at which the last complete one
@@ -168,14 +190,16 @@
 }
 
 /// Creates a file with this content and syncs it. Removes an unfinished file
-/// that an earlier crash has left.
+/// that an earlier crash has left, and its own if it can't be written.
 fn create_file(path: &Path, bytes: &[u8]) -> io::Result<File> {
     let _ = fs::remove_file(path);
     let mut options = OpenOptions::new();
     let mut file = options.append(true).create_new(true).open(path)?;
-    file.write_all(bytes)?;
-    file.sync_all()?;
-    Ok(file)
+    let written = file.write_all(bytes).and_then(|()| file.sync_all());
+    if written.is_err() {
+        let _ = fs::remove_file(path);
+    }
+    written.map(|()| file)
 }
 
 fn damaged(path: &Path, at: usize, problem: &str) -> Error {
--- a/crates/quorum/src/record.rs
+++ b/crates/quorum/src/record.rs
@@ -87,6 +87,15 @@
         }
     }
 
+    /// Records that restore this content on the disk with its identity.
+    #[must_use]
+    pub fn records(&self) -> Vec<Record> {
+        let snapshot = self.snapshot.iter().cloned().map(Record::Snapshot);
+        let entries = self.entries.iter().cloned().map(Record::Append);
+        let state = [Record::State(self.state)];
+        snapshot.chain(state).chain(entries).collect()
+    }
+
     /// Index of the last entry that the disk holds or its snapshot covers.
     #[must_use]
     pub fn last_index(&self) -> u64 {
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -118,30 +118,22 @@
         mut state_machine: M,
         now: Instant,
     ) -> Result<Self> {
-        let base = stored
-            .snapshot
-            .as_ref()
-            .map_or((0, 0), |s| (s.index, s.term));
         if let Some(snapshot) = &stored.snapshot {
             state_machine.restore(&snapshot.state)?;
         }
-        let mut log = Log::new(base.0, base.1);
-        for entry in stored.entries {
-            log.push(entry);
-        }
         let rng = StdRng::seed_from_u64(settings.seed ^ stored.disk.0);
         let mut replica = Self {
             settings,
             disk: stored.disk,
             state_machine,
-            state: stored.state,
-            output: Output::new(log.last_index()),
-            log,
-            snapshot: stored.snapshot,
+            state: HardState::default(),
+            output: Output::new(0),
+            log: Log::default(),
+            snapshot: None,
             members: Members::default(),
             members_index: 0,
-            commit: base.0,
-            applied: base.0,
+            commit: 0,
+            applied: 0,
             election: Election::Follower,
             leader: None,
             leader_contact_at: None,
@@ -151,14 +143,39 @@
             rng,
             waiters: Waiters::default(),
         };
-        replica.refresh_members();
-        replica.election_at = now + replica.first_election_timeout();
-        if replica.members.has_majority(|disk| disk == replica.disk) {
-            replica.election_at = now;
-        }
+        replica.recover(stored, now);
         Ok(replica)
     }
 
+    /// Continues with the content of the disk, as after a restart: entries, terms and
+    /// votes that are not on the disk are forgotten, and so are the proposals and reads
+    /// in progress. The state machine keeps what it has applied, which is committed.
+    pub fn recover(&mut self, stored: Stored, now: Instant) {
+        let base = stored
+            .snapshot
+            .as_ref()
+            .map_or((0, 0), |s| (s.index, s.term));
+        self.log = Log::new(base.0, base.1);
+        for entry in stored.entries {
+            self.log.push(entry);
+        }
+        self.output = Output::new(self.log.last_index());
+        self.waiters = Waiters::default();
+        self.state = stored.state;
+        self.snapshot = stored.snapshot;
+        // The entries after the snapshot may differ from the committed ones.
+        self.commit = base.0;
+        self.applied = self.applied.max(base.0);
+        self.election = Election::Follower;
+        self.leader = None;
+        self.leader_contact_at = None;
+        self.refresh_members();
+        self.election_at = now + self.first_election_timeout();
+        if self.members.has_majority(|disk| disk == self.disk) {
+            self.election_at = now;
+        }
+    }
+
     /// Election timeout after a start. It increases with the position among the
     /// voters, so that after a stop of the whole group they start their elections
     /// one after the other. It may be below the usual minimum, since the other
--- a/crates/quorum/src/replica/append.rs
+++ b/crates/quorum/src/replica/append.rs
@@ -111,17 +111,17 @@
         }
     }
 
-    /// Replaces log and state machine by a snapshot; false if the state machine
-    /// can't restore it.
+    /// Replaces the log by a snapshot, and the state machine unless it is further;
+    /// false if the state machine can't restore it.
     fn install(&mut self, snapshot: Arc<Snapshot>) -> bool {
-        if let Err(error) = self.state_machine.restore(&snapshot.state) {
-            log::error!(
-                "can't restore the snapshot at index {}: {error}",
-                snapshot.index
-            );
-            return false;
-        }
         let index = snapshot.index;
+        if index > self.applied {
+            if let Err(error) = self.state_machine.restore(&snapshot.state) {
+                log::error!("can't restore the snapshot at index {index}: {error}");
+                return false;
+            }
+            self.applied = index;
+        }
         if self.log.term_at(index) == Some(snapshot.term) {
             self.log.compact(index);
         } else {
@@ -132,7 +132,6 @@
         self.output.replace_records(records);
         self.snapshot = Some(snapshot);
         self.commit = index;
-        self.applied = index;
         self.refresh_members();
         self.end_unknown_proposals(index);
         true
--- a/crates/quorum/src/settings.rs
+++ b/crates/quorum/src/settings.rs
@@ -23,16 +23,19 @@
 
 impl Default for Timing {
     fn default() -> Self {
-        Self {
-            heartbeat_ms: 250,
-            election_ms: 1_000,
-            proposal_ms: 3_000,
-            replace_ms: 3_000,
-        }
+        Self::DEFAULT
     }
 }
 
 impl Timing {
+    /// Intervals for links of up to 55 ms one way.
+    pub const DEFAULT: Self = Self {
+        heartbeat_ms: 250,
+        election_ms: 1_000,
+        proposal_ms: 3_000,
+        replace_ms: 3_000,
+    };
+
     /// [`Timing::heartbeat_ms`] as a duration.
     pub(crate) fn heartbeat_interval(&self) -> Duration {
         ms(self.heartbeat_ms)
--- a/crates/quorum/tests/file.rs
+++ b/crates/quorum/tests/file.rs
@@ -188,3 +188,36 @@
         }
     );
 }
+
+/// Guards against a disk that accepts no write any more after one has failed, and
+/// against records of the failed write being half there.
+#[test]
+fn writing_goes_on_after_a_failed_write() {
+    let folder = tempfile::tempdir().expect("folder");
+    let disk = write(folder.path());
+    let mut file = FileDisk::new(folder.path()).expect("folder");
+    file.load().expect("loads");
+    let torn = [b"WXQ1".as_slice(), &[9; 20]].concat();
+    let log = folder.path().join("log");
+    let blocked = folder.path().join("log.new");
+    fs::create_dir(&blocked).expect("folder");
+    let snapshot = Record::Snapshot(Arc::new(Snapshot {
+        index: 3,
+        term: 2,
+        members: Members::default(),
+        state: vec![9; 100].into(),
+    }));
+    file.store(&[snapshot]).expect_err("no new file");
+    let written = [fs::read(&log).expect("log"), torn].concat();
+    fs::write(&log, written).expect("write");
+    file.store(&[Record::Append(entry(4, 2))])
+        .expect_err("not read back");
+    file.recover().expect_err("no new file");
+    fs::remove_dir(&blocked).expect("removed");
+    assert_eq!(file.recover().expect("read back"), expected(disk, 3));
+    file.store(&[Record::Append(entry(4, 2))]).expect("stored");
+    drop(file);
+    let mut with_entry = expected(disk, 3);
+    with_entry.entries.push(entry(4, 2));
+    assert_eq!(load(folder.path()).expect("loads"), with_entry);
+}
--- a/crates/routed_control/src/commands.rs
+++ b/crates/routed_control/src/commands.rs
@@ -150,6 +150,9 @@
     }
 
     async fn call_leader(&self, request: Body) -> Result<Body> {
+        if let Some(error) = self.catalog.failed() {
+            return Err(error);
+        }
         let leader = self.catalog.leader().and_then(|name| ip_of(&name));
         let (Some(ip), Some(links)) = (leader, self.links.get()) else {
             return Err(Error::new(ErrorKind::NotLeader, "no leader is known"));
--- a/crates/routed_control/src/control_vm.rs
+++ b/crates/routed_control/src/control_vm.rs
@@ -287,11 +287,10 @@
             if change == saved || self.started_at.elapsed() < SETTLE_TIME {
                 continue;
             }
-            saved = change;
             let cache = self.cache();
             let saving = tokio::task::spawn_blocking(move || cache.save(&rows));
             match saving.await {
-                Ok(Ok(())) => {}
+                Ok(Ok(())) => saved = change,
                 Ok(Err(error)) => log::warn!(target: "hub", error:? = error; "servers not saved"),
                 Err(error) => log::warn!(target: "hub", error:% = error; "servers not saved"),
             }
