Let learners take the places of voters that are gone

Cause: a successor with another name became a voter beside the machine that was gone, which kept its vote for 12 s. Of eight voters four were left, and five are a majority. Change: all changes of members are in one place, one voter more or less at a time. A silent voter is removed after 1.5 s while 2F + 1 remain or a learner can take its place; learners wait while a voter is silent. Requests to join are kept during a change. F is the platform's fault_tolerance.machines. Why it works: the voters never grow beside machines that are gone, and the group is whole again before another loss may come.

--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -11,6 +11,7 @@
 mod election;
 mod join;
 mod leader;
+mod membership;
 mod output;
 mod status;
 mod waiters;
@@ -348,8 +349,7 @@
         self.advance_commit();
         self.apply_committed();
         self.confirm_reads();
-        self.promote_learner(now);
-        self.retire_voter(now);
+        self.change_members(now);
     }
 
     /// Sets `members` from the log, or from the snapshot if no entry in memory
--- a/crates/quorum/src/replica/join.rs
+++ b/crates/quorum/src/replica/join.rs
@@ -1,23 +1,20 @@
-//! Bootstrap of a group, joining it, and changing its members one at a time.
+//! Bootstrap of a group, and the requests of new disks to join it.
 //!
 //! The bootstrap machine creates the group once all machines of the settings
-//! have consented. Later a new disk joins as a learner, and becomes a voter
-//! when it has caught up.
+//! have consented. Later a new disk asks to be admitted until a leader adds it as a
+//! learner.
 
 use std::collections::BTreeSet;
 
 use tokio::time::Instant;
 use world::{Error, ErrorKind, MachineName, Result};
 
-use crate::members::{Members, Role, VOTERS_MAX};
+use crate::members::Members;
 use crate::message::{Body, DiskId, Entry, Envelope, Payload, Peer};
 use crate::record::{HardState, Record};
-use crate::replica::{CAUGHT_UP_LAG_ENTRIES, Election, Replica, Ticket};
+use crate::replica::{Election, Replica, Ticket};
 use crate::state_machine::StateMachine;
 
-/// An open group keeps at least this many voters, silent or not.
-const VOTERS_MIN: usize = 3;
-
 /// Term of the first entry of a group, which sets the initial members. The first
 /// election is for the next term.
 const BOOTSTRAP_TERM: u64 = 1;
@@ -67,8 +64,8 @@
         }
     }
 
-    /// Consents to the bootstrap, admits the sender, or forwards the message to
-    /// the leader, depending on the state of this replica.
+    /// Consents to the bootstrap, keeps the request until the members may change, or
+    /// forwards the message to the leader, depending on the state of this replica.
     pub(super) fn on_hello(&mut self, envelope: &Envelope, now: Instant) {
         if self.has_empty_log() {
             let bootstrap_machine = self.settings.names.first() == Some(&envelope.from.name);
@@ -76,7 +73,7 @@
                 self.consent_to_bootstrap(&envelope.from, now);
             }
         } else if self.is_leader() {
-            self.add_learner(&envelope.from, now);
+            self.add_joining(&envelope.from, now);
         } else if self.settings.open_membership.is_some() {
             self.forward_hello(envelope);
         }
@@ -124,55 +121,6 @@
         true
     }
 
-    /// Makes a learner that has caught up a voter.
-    pub(super) fn promote_learner(&mut self, now: Instant) {
-        let Election::Leader(leader) = &self.election else {
-            return;
-        };
-        if !self.can_change_members() || self.members.voters().count() >= VOTERS_MAX {
-            return;
-        }
-        let timeout = self.settings.timing.min_election_timeout();
-        let is_ready = |disk: DiskId| {
-            leader.progress.get(&disk).is_some_and(|p| {
-                let caught_up =
-                    p.match_index > 0 && p.match_index + CAUGHT_UP_LAG_ENTRIES >= self.commit;
-                caught_up && now.saturating_duration_since(p.last_contact_at) < timeout
-            })
-        };
-        let learners = self.members.iter().filter(|(_, m)| m.role == Role::Learner);
-        let Some((disk, member)) = learners.into_iter().find(|(disk, _)| is_ready(*disk)) else {
-            return;
-        };
-        let name = member.name.clone();
-        let members = self.members.with_member(disk, name, Role::Voter);
-        self.append_entry(Payload::Members(members), now);
-    }
-
-    /// In an open group, removes a voter that stays silent, so that machines that
-    /// never come back don't make the majority unreachable.
-    pub(super) fn retire_voter(&mut self, now: Instant) {
-        let Some(open_membership) = self.settings.open_membership else {
-            return;
-        };
-        if !self.can_change_members() || self.members.voters().count() <= VOTERS_MIN {
-            return;
-        }
-        let silent = |disk: &DiskId| {
-            let silent_ms = self.last_contact_ms(*disk, now);
-            silent_ms.is_some_and(|ms| ms >= open_membership.retire_ms)
-        };
-        let Some(disk) = self.members.voters().find(silent) else {
-            return;
-        };
-        log::warn!(
-            "removing the voter on disk {disk}: silent for {} ms",
-            open_membership.retire_ms
-        );
-        let members = self.members.without(disk);
-        self.append_entry(Payload::Members(members), now);
-    }
-
     fn hello(&self, to_name: &MachineName) -> Envelope {
         Envelope {
             group: self.state.group,
@@ -239,41 +187,16 @@
         self.start_pre_vote(now);
     }
 
-    /// Adds the new disk of a machine as a learner. It replaces the disk that the
-    /// machine had before, if that one has been silent long enough.
-    fn add_learner(&mut self, peer: &Peer, now: Instant) {
+    /// Keeps the request of a disk to be admitted, unless its machine may not join.
+    fn add_joining(&mut self, peer: &Peer, now: Instant) {
         let Peer { disk, name } = peer.clone();
         let allowed =
             self.settings.open_membership.is_some() || self.settings.names.contains(&name);
-        if !allowed
-            || name == self.settings.me
-            || self.members.get(disk).is_some()
-            || !self.can_change_members()
-        {
+        if !allowed || name == self.settings.me || self.members.get(disk).is_some() {
             return;
         }
-        let mut members = self.members.clone();
-        if let Some(old) = members.disk_of(&name) {
-            let replace_ms = self.settings.timing.replace_ms;
-            if self
-                .last_contact_ms(old, now)
-                .is_none_or(|ms| ms < replace_ms)
-            {
-                return;
-            }
-            log::warn!("{name} joins again with disk {disk}, which replaces disk {old}");
-            members = members.without(old);
+        if let Election::Leader(leader) = &mut self.election {
+            leader.joining.insert(name, (disk, now));
         }
-        let members = members.with_member(disk, name, Role::Learner);
-        self.append_entry(Payload::Members(members), now);
-    }
-
-    /// Whether this leader may start a change of members. Members change one at a
-    /// time, and only after an entry of this term is committed.
-    fn can_change_members(&self) -> bool {
-        let Election::Leader(leader) = &self.election else {
-            return false;
-        };
-        self.commit >= leader.first_index && self.commit >= self.members_index
     }
 }
--- a/crates/quorum/src/replica/leader.rs
+++ b/crates/quorum/src/replica/leader.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use tokio::time::Instant;
+use world::MachineName;
 use world::unit::as_ms;
 
 use crate::message::{Append, AppendReply, Body, DiskId, Entry, Install, Payload};
@@ -38,6 +39,8 @@
 #[derive(Debug)]
 pub(super) struct Leader {
     pub(super) progress: BTreeMap<DiskId, Progress>,
+    /// Disks that ask to be admitted, by machine, and when they last asked.
+    pub(super) joining: BTreeMap<MachineName, (DiskId, Instant)>,
     /// Index of the first entry of this leader's term.
     pub(super) first_index: u64,
     /// Number of the current round.
@@ -71,6 +74,7 @@
     pub(super) fn become_leader(&mut self, now: Instant) {
         let mut leader = Leader {
             progress: BTreeMap::new(),
+            joining: BTreeMap::new(),
             first_index: self.log.last_index() + 1,
             round: 0,
             rounds: VecDeque::new(),
@@ -261,7 +265,7 @@
                     .entries_from(progress.next_index, APPEND_MAX_ENTRIES, APPEND_MAX_BYTES);
             progress.next_index += entries.len() as u64;
         } else if let Some(snapshot) = &self.snapshot {
-            let retry = self.settings.timing.replace_delay();
+            let retry = self.settings.timing.snapshot_retry_interval();
             let sent = |at: Instant| now.saturating_duration_since(at) < retry;
             if !progress.snapshot_sent_at.is_some_and(sent) {
                 progress.snapshot_sent_at = Some(now);
--- a/crates/quorum/src/settings.rs
+++ b/crates/quorum/src/settings.rs
@@ -16,9 +16,10 @@
     /// Timeout of a proposal or a read, in milliseconds.
     pub proposal_ms: u64,
     /// How long a member must be silent before a new disk of its machine may
-    /// replace it, in milliseconds. Also the interval after which an
-    /// unacknowledged snapshot is sent again.
+    /// replace it, in milliseconds.
     pub replace_ms: u64,
+    /// Interval after which an unacknowledged snapshot is sent again, in milliseconds.
+    pub snapshot_retry_ms: u64,
 }
 
 impl Default for Timing {
@@ -34,6 +35,7 @@
         election_ms: 1_000,
         proposal_ms: 3_000,
         replace_ms: 3_000,
+        snapshot_retry_ms: 3_000,
     };
 
     /// [`Timing::heartbeat_ms`] as a duration.
@@ -52,9 +54,9 @@
         ms(self.proposal_ms)
     }
 
-    /// [`Timing::replace_ms`] as a duration.
-    pub(crate) fn replace_delay(&self) -> Duration {
-        ms(self.replace_ms)
+    /// [`Timing::snapshot_retry_ms`] as a duration.
+    pub(crate) fn snapshot_retry_interval(&self) -> Duration {
+        ms(self.snapshot_retry_ms)
     }
 }
 
@@ -88,9 +90,19 @@
 /// machine on a new disk is admitted, and a voter that stays silent is removed.
 #[derive(Clone, Copy, Debug)]
 pub struct OpenMembership {
-    /// How long a voter must be silent before it is removed, in milliseconds. It
+    /// How long a voter must be silent before it may be removed, in milliseconds. It
     /// rejoins as a learner when it has contact again.
     pub retire_ms: u64,
+    /// Number of machines that may be lost at a time. A silent voter is removed only if
+    /// more than twice as many voters remain, or a learner can take its place.
+    pub tolerated_losses: usize,
+}
+
+impl OpenMembership {
+    /// Number of voters of which a majority outlives the tolerated losses.
+    pub(crate) fn min_voters(&self) -> usize {
+        2 * self.tolerated_losses + 1
+    }
 }
 
 /// Default of [`Settings::compact_entries`].
--- a/crates/quorum/tests/faults.rs
+++ b/crates/quorum/tests/faults.rs
@@ -72,6 +72,7 @@
     election_ms: 80,
     proposal_ms: 1_000,
     replace_ms: 400,
+    snapshot_retry_ms: 400,
 };
 
 /// As [`random_fault`], but more often and mostly at the leader; also proposes a
--- a/crates/quorum/tests/group.rs
+++ b/crates/quorum/tests/group.rs
@@ -363,7 +363,10 @@
 
 /// Enables open membership, with the first three machines as initial ones.
 fn open_group(settings: quorum::Settings) -> quorum::Settings {
-    let open = quorum::OpenMembership { retire_ms: 12_000 };
+    let open = quorum::OpenMembership {
+        retire_ms: 12_000,
+        tolerated_losses: 1,
+    };
     let initial: Vec<_> = (0..3).map(name).collect();
     let mut settings = settings.with_open_membership(open, true);
     settings.names = initial;
--- a/crates/quorum/tests/sim/check.rs
+++ b/crates/quorum/tests/sim/check.rs
@@ -6,7 +6,7 @@
 use quorum::{DiskId, Done, Outcome};
 use world::ErrorKind;
 
-use super::{ClientOutcome, Read, Sim};
+use super::{ClientOutcome, DiskState, Read, Sim};
 
 impl Sim {
     /// Records the outcome that a replica returned; checks a completed read.
@@ -50,7 +50,7 @@
                 continue;
             };
             let disk = replica.disk();
-            if replica.is_leader() {
+            if replica.is_leader() && node.disk_state != DiskState::Failed {
                 let term = replica.status(self.now).term;
                 let first = *self.leaders.entry(term).or_insert(disk);
                 assert_eq!(first, disk, "two leaders in term {term}");
@@ -78,7 +78,12 @@
             }
         }
         self.run_until("all replicas agree", 60_000, Self::agrees);
-        let journal = self.journal(0).clone();
+        self.check_outcomes(0);
+    }
+
+    /// Checks the outcomes of all commands against those that a replica has applied.
+    pub fn check_outcomes(&self, at: usize) {
+        let journal = self.journal(at);
         let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
         for (_, number) in &journal.0 {
             *counts.entry(*number).or_default() += 1;
--- a/crates/quorum/tests/sim/mod.rs
+++ b/crates/quorum/tests/sim/mod.rs
@@ -42,6 +42,16 @@
     }
 }
 
+/// Whether a disk takes writes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DiskState {
+    Works,
+    /// Refuses the next write.
+    Full,
+    /// A write has failed, and the disk has not been read back.
+    Failed,
+}
+
 /// A machine of the simulation: a replica and its disk.
 pub struct Node {
     pub name: MachineName,
@@ -50,6 +60,9 @@
     pub disk: Stored,
     /// A frozen replica does nothing, but its messages queue up.
     pub frozen: bool,
+    /// Gone for good.
+    pub removed: bool,
+    pub disk_state: DiskState,
     /// Batch that is being stored, and when it is durable.
     storing: Option<(Instant, Batch)>,
     /// Number of syncs started so far.
@@ -61,6 +74,13 @@
     checked: usize,
 }
 
+impl Node {
+    /// Whether the replica, if it runs, takes part in the group.
+    pub fn takes_steps(&self) -> bool {
+        !self.frozen && self.disk_state != DiskState::Failed
+    }
+}
+
 /// Outcome of a command, as far as its client knows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ClientOutcome {
@@ -106,6 +126,8 @@
     settings: fn(Settings) -> Settings,
     /// Number of starts of any replica; the seed of the latest.
     starts: u64,
+    /// Whether replicas that start may bootstrap the group.
+    pub may_bootstrap: bool,
 }
 
 /// Name of the machine with this position: c1, c2 and so on.
@@ -137,20 +159,10 @@
             reads_done: 0,
             settings,
             starts: 0,
+            may_bootstrap: true,
         };
-        for at in 0..count {
-            let disk = Stored::new(DiskId(sim.rng.random()));
-            sim.nodes.push(Node {
-                name: name(at),
-                replica: None,
-                disk,
-                frozen: false,
-                storing: None,
-                syncs: 0,
-                crash_at_sync: None,
-                inbox: Vec::new(),
-                checked: 0,
-            });
+        for _ in 0..count {
+            sim.add_node();
         }
         for at in 0..count {
             sim.start(at);
@@ -158,12 +170,42 @@
         sim
     }
 
+    /// Adds a machine with a new disk, which doesn't run yet; returns its position.
+    fn add_node(&mut self) -> usize {
+        let at = self.nodes.len();
+        let disk = Stored::new(DiskId(self.rng.random()));
+        self.nodes.push(Node {
+            name: name(at),
+            replica: None,
+            disk,
+            frozen: false,
+            removed: false,
+            disk_state: DiskState::Works,
+            storing: None,
+            syncs: 0,
+            crash_at_sync: None,
+            inbox: Vec::new(),
+            checked: 0,
+        });
+        at
+    }
+
+    /// Starts a machine with another name and a new disk in place of one that is gone;
+    /// returns its position.
+    pub fn start_successor(&mut self, of: usize) -> usize {
+        self.nodes[of].removed = true;
+        let at = self.add_node();
+        self.start(at);
+        at
+    }
+
     /// Starts a replica on its disk.
     pub fn start(&mut self, at: usize) {
         self.starts += 1;
         let names = self.nodes.iter().map(|n| n.name.clone()).collect();
         let settings = Settings::new(self.nodes[at].name.clone(), names, self.starts);
-        let settings = (self.settings)(settings);
+        let mut settings = (self.settings)(settings);
+        settings.may_bootstrap &= self.may_bootstrap;
         let disk = self.nodes[at].disk.clone();
         let replica = Replica::new(settings, disk, Journal::default(), self.now);
         self.nodes[at].replica = Some(replica.expect("restore"));
@@ -181,6 +223,9 @@
         let node = &mut self.nodes[at];
         node.replica = None;
         node.frozen = false;
+        if node.disk_state == DiskState::Failed {
+            node.disk_state = DiskState::Full;
+        }
         node.inbox.clear();
         if let Some((_, batch)) = node.storing.take().filter(|_| durable) {
             batch.records.into_iter().for_each(|r| node.disk.replay(r));
@@ -194,6 +239,20 @@
         self.start(at);
     }
 
+    /// Lets a disk that was full take writes again. Its replica goes on from what it
+    /// holds.
+    pub fn empty_disk(&mut self, at: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[at];
+        node.inbox.clear();
+        let before = std::mem::replace(&mut node.disk_state, DiskState::Works);
+        if before == DiskState::Failed
+            && let Some(replica) = &mut node.replica
+        {
+            replica.recover(node.disk.clone(), now);
+        }
+    }
+
     /// Blocks all links of a machine.
     pub fn isolate(&mut self, at: usize) {
         for other in 0..self.nodes.len() {
@@ -206,7 +265,7 @@
     pub fn leader(&self) -> Option<usize> {
         let leads = |at: &usize| {
             let replica = self.nodes[*at].replica.as_ref();
-            !self.nodes[*at].frozen && replica.is_some_and(Replica::is_leader)
+            self.nodes[*at].takes_steps() && replica.is_some_and(Replica::is_leader)
         };
         let term = |at: &usize| self.status(*at).map_or(0, |s| s.term);
         (0..self.nodes.len()).filter(leads).max_by_key(term)
@@ -229,7 +288,11 @@
     pub fn propose(&mut self, at: usize) -> Result<u64> {
         let number = self.commands.len() as u64 + 1;
         let node = &mut self.nodes[at];
-        let Some(replica) = node.replica.as_mut().filter(|_| !node.frozen) else {
+        let Some(replica) = node
+            .replica
+            .as_mut()
+            .filter(|_| !node.frozen && node.disk_state != DiskState::Failed)
+        else {
             return Err(Error::new(ErrorKind::Unreachable, "not running"));
         };
         let result = replica.propose(&number.to_le_bytes(), self.now);
@@ -248,7 +311,11 @@
     /// Starts a read at a replica.
     pub fn read(&mut self, at: usize) -> Result<()> {
         let node = &mut self.nodes[at];
-        let Some(replica) = node.replica.as_mut().filter(|_| !node.frozen) else {
+        let Some(replica) = node
+            .replica
+            .as_mut()
+            .filter(|_| !node.frozen && node.disk_state != DiskState::Failed)
+        else {
             return Err(Error::new(ErrorKind::Unreachable, "not running"));
         };
         let ticket = replica.read(self.now)?;
@@ -292,7 +359,7 @@
             self.finish_sync(at);
             let now = self.now;
             let node = &mut self.nodes[at];
-            if node.frozen {
+            if !node.takes_steps() {
                 continue;
             }
             if let Some(replica) = node.replica.as_mut() {
@@ -351,6 +418,10 @@
         if node.storing.is_none()
             && let Some(batch) = replica.take_batch()
         {
+            if node.disk_state == DiskState::Full {
+                node.disk_state = DiskState::Failed;
+                return;
+            }
             node.syncs += 1;
             let sync = self.rng.random_range(1..=self.sync_ms);
             let due = self.now + Duration::from_millis(sync);
--- a/crates/routed_control/src/control_vm.rs
+++ b/crates/routed_control/src/control_vm.rs
@@ -36,9 +36,10 @@
 /// Time between two sweeps of the registry for silent servers and machines.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Silence after which a replica of the catalog loses its vote, milliseconds: longer
-/// than any outage that a machine recovers from by itself.
-const RETIRE_MS: u64 = 12_000;
+/// Silence after which a replica of the catalog may lose its vote, milliseconds. A group
+/// that has lost machines must be whole again soon after their return, and a replica that
+/// was only slow gets its vote back.
+const RETIRE_MS: u64 = 1_500;
 
 /// State and operations of this process as a control VM.
 pub struct ControlVm {
@@ -78,6 +79,7 @@
         seeds.sort();
         let open = OpenMembership {
             retire_ms: RETIRE_MS,
+            tolerated_losses: settings.tolerated_losses,
         };
         let replica = quorum::Settings::new(name.clone(), seeds, rand::random())
             .with_open_membership(open, settings.bootstrap);
--- a/crates/routed_control/src/settings.rs
+++ b/crates/routed_control/src/settings.rs
@@ -22,6 +22,8 @@
     pub listen_port: u16,
     /// Addresses of some control VMs, to find the others through.
     pub seeds: Vec<IpAddr>,
+    /// Number of control VMs that may be lost at a time.
+    pub tolerated_losses: usize,
     /// Whether the site starts for the first time, so that the replicas form a new group.
     pub bootstrap: bool,
     /// Directory of the replica's files and of the server cache.
