Bound the memory for bodies of an entry VM

Cause: each body was collected and then copied, and nothing bounded the sum over all requests; limits.memory_mb was not read. Change: bodies over 16 kB count towards 0.6 of the memory while any part of them is held. A request body that does not fit is refused at once, not run, with the time in which memory is likely to be free; a response that does not fit is forwarded as it arrives. Gauge body_bytes_held. Why it works: the memory is taken before a body of known length is read, and released with its last piece, also in the write queue.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -324,7 +324,8 @@
     Partial(Bytes, Incoming),
 }
 
-/// Reads a body up to `max_bytes`; `None` when it was truncated.
+/// Reads a body up to `max_bytes`, or as far as there is memory; `None` when it was
+/// truncated.
 async fn read_body<D: Dialect>(
     state: &State<D>,
     outgoing: &OutgoingRequest,
@@ -333,6 +334,8 @@
     max_bytes: usize,
 ) -> Option<ReadBody> {
     let mut whole = BytesMut::new();
+    let mut held = state.memory.hold();
+    let mut has_memory = true;
     if let Some(len) = body.size_hint().exact() {
         whole.reserve(
             usize::try_from(len)
@@ -341,8 +344,8 @@
         );
     }
     loop {
-        if whole.len() > max_bytes {
-            return Some(ReadBody::Partial(whole.freeze(), body));
+        if whole.len() > max_bytes || !has_memory {
+            return Some(ReadBody::Partial(held.attach(whole.freeze()), body));
         }
         let next = poll_fn(|cx| connection.poll_body(&mut body, cx)).await;
         match next {
@@ -350,11 +353,12 @@
                 if outgoing.reserved.is_some() {
                     state.large_size.record(whole.len());
                 }
-                return Some(ReadBody::Whole(whole.freeze()));
+                return Some(ReadBody::Whole(held.attach(whole.freeze())));
             }
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
                     whole.extend_from_slice(&data);
+                    has_memory = held.grow(whole.len());
                     let reserved = outgoing.reserved.as_ref();
                     let uncovered = reserved.map_or(data.len(), |r| r.consume(data.len()));
                     let next_at = state.pace_in.count(uncovered);
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -364,7 +364,7 @@
         state.balancer.lock().advance(Instant::now());
         state.pool.expire();
         state.findings.expire(Instant::now());
-        state.measure_link();
+        state.measure();
         let paused = clock.advance().saturating_sub(MAINTENANCE_INTERVAL);
         if paused > SUSPENSION_MAX {
             let paused_ms = as_ms(paused);
--- a/crates/forward/src/handler.rs
+++ b/crates/forward/src/handler.rs
@@ -4,12 +4,10 @@
 use std::sync::Arc;
 
 use balancer::Fingerprint;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response, Uri};
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until};
 use world::unit::{as_ms, ms};
 use world::{Error, ErrorKind, RequestKind, Route};
 
@@ -19,6 +17,7 @@
 use crate::dialect::{Dialect, RequestHead};
 use crate::large::{self, LinkAdmission, Reservation};
 use crate::refusal::Refusal;
+use crate::request_body;
 use crate::request_log::Outcome;
 use crate::retry::RetryLoop;
 use crate::state::State;
@@ -54,7 +53,7 @@
     let deadline_ms = call.deadline_ms.unwrap_or(route.timeout_ms);
     let deadline = arrived_at + ms(deadline_ms.min(route.timeout_ms));
     let body_max = table.limits().map_or(BODY_MAX_BYTES, |l| l.body_bytes);
-    let body = match read_body(body, body_max, deadline).await {
+    let body = match request_body::read(&state, body, body_max, deadline).await {
         Ok(body) => body,
         Err(refusal) => return refuse(&state, &refusal, Some(&call), arrived_at),
     };
@@ -146,24 +145,6 @@
     answer::own_response(response, state.is_leaving())
 }
 
-/// Reads the complete request body.
-async fn read_body(body: Incoming, max_bytes: u64, deadline: Instant) -> Result<Bytes, Refusal> {
-    let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-    let collected = timeout_at(deadline, Limited::new(body, max_bytes).collect()).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::new(
-            ErrorKind::TooLarge,
-            "the body is over its bound",
-        )),
-        Ok(Err(error)) => Err(Refusal::new(ErrorKind::BadRequest, error.to_string())),
-        Err(_) => Err(Refusal::new(
-            ErrorKind::SlowCaller,
-            "the body came too slowly",
-        )),
-    }
-}
-
 /// On a download route, waits until this machine's link has capacity for the
 /// response and reserves it.
 async fn reserve_link<D: Dialect>(
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -21,6 +21,7 @@
     retries: IntCounterVec,
     crashes: IntCounterVec,
     link_busy: IntGauge,
+    held_bytes: IntGauge,
 }
 
 impl Metrics {
@@ -46,6 +47,7 @@
                 &["service"],
             )?,
             link_busy: IntGauge::new("link_busy_percent", "Share of the link that is used")?,
+            held_bytes: IntGauge::new("body_bytes_held", "Memory that bodies take")?,
         };
         metrics
             .registry
@@ -65,6 +67,9 @@
         metrics
             .registry
             .register(Box::new(metrics.link_busy.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.held_bytes.clone()))?;
         Ok(metrics)
     }
 
@@ -90,6 +95,11 @@
         self.link_busy.set(i64::from(percent));
     }
 
+    pub(crate) fn set_held_bytes(&self, bytes: usize) {
+        self.held_bytes
+            .set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
     pub(crate) fn record_retry(&self, after: AttemptEnd) {
         self.retries.with_label_values(&[after.as_str()]).inc();
     }
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -17,6 +17,7 @@
 use crate::dialect::{Dialect, RequestHead};
 use crate::findings::Findings;
 use crate::large::MeanSize;
+use crate::memory::BodyMemory;
 use crate::metrics::Metrics;
 use crate::pace::Pacer;
 use crate::pool::Pool;
@@ -43,6 +44,8 @@
     pub link_port: u16,
     /// Rate of this machine's network link in each direction, bytes a second.
     pub link_bytes_per_s: f64,
+    /// Memory for the bodies of requests and responses that this entry VM holds, bytes.
+    pub body_memory_bytes: usize,
     /// Shared secret that authenticates the processes of the deployment.
     pub secret: Secret,
     /// Settings of the balancer.
@@ -70,6 +73,8 @@
     pub findings: Findings,
     /// Idle connections.
     pub pool: Arc<Pool>,
+    /// Memory for the bodies that this entry VM holds.
+    pub memory: Arc<BodyMemory>,
     /// Pacing of bytes received over this machine's link.
     pub pace_in: Arc<Pacer>,
     /// Pacing of bytes sent over this machine's link.
@@ -106,6 +111,7 @@
             crashes: Crashes::default(),
             findings: Findings::default(),
             pool: Arc::default(),
+            memory: Arc::new(BodyMemory::new(settings.body_memory_bytes)),
             pace_in: Arc::new(Pacer::new(settings.link_bytes_per_s)),
             large_size: MeanSize::default(),
             busy_percent: AtomicU32::new(0),
@@ -187,8 +193,8 @@
         })
     }
 
-    /// Adds a measurement of link usage; called about every half second.
-    pub fn measure_link(&self) {
+    /// Adds measurements of link usage and held bodies; called about every half second.
+    pub fn measure(&self) {
         let percents = [&self.pace_in, &self.pace_out].map(|pace| pace.take_busy_percent());
         let busy = percents[0].max(percents[1]);
         let known = u64::from(self.busy_percent.load(Ordering::Relaxed));
@@ -196,6 +202,7 @@
         let busy = u32::try_from(mean).unwrap_or(u32::MAX);
         self.busy_percent.store(busy, Ordering::Relaxed);
         self.stats.set_link_busy(busy);
+        self.stats.set_held_bytes(self.memory.held_bytes());
     }
 
     /// Merges rows into the catalog and updates the routes and the balancer.
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -72,6 +72,9 @@
     Fail,
 }
 
+/// Memory for bodies at an entry VM.
+pub const BODY_MEMORY_BYTES: usize = 8 << 20;
+
 /// Length of a large response: 200 ms on a link of 3.3 Mbit a second.
 pub const LARGE_BYTES: usize = 80_000;
 
@@ -419,6 +422,7 @@
     let addr = listener.local_addr().expect("address");
     let place = place();
     let settings = Settings {
+        body_memory_bytes: BODY_MEMORY_BYTES,
         front: addr,
         seeds: Vec::new(),
         link_port: 1,
