Compact the log by the length of its commands

Cause: the log was compacted by the number of its entries only, and a call was logged with all its items, also those that change nothing. Why it works: memory and file are bounded by the bound, the largest command and the state; what a replica has applied is committed, so leaving it out loses nothing.

--- a/crates/catalog/src/state.rs
+++ b/crates/catalog/src/state.rs
@@ -233,6 +233,22 @@
         Ok(())
     }
 
+    /// Removes from a patch what changes nothing, since the catalog has the same or a
+    /// higher version. Items that are not in effect stay, as others may refer to them.
+    #[must_use]
+    pub fn without_known(&self, mut patch: Patch) -> Patch {
+        let is_known = |item: &Item| {
+            let entry = self.items.get(&item.key());
+            entry.is_some_and(|entry| entry.version >= item.version && entry.item.is_some())
+        };
+        patch.upserts.retain(|item| !is_known(item));
+        patch.removals.retain(|removal| {
+            let entry = self.items.get(&removal.key);
+            entry.is_none_or(|entry| entry.version < removal.version)
+        });
+        patch
+    }
+
     fn is_newer(&self, item: &Item) -> bool {
         let entry = self.items.get(&item.key());
         entry.is_none_or(|entry| entry.version < item.version)
--- a/crates/catalog/tests/catalog.rs
+++ b/crates/catalog/tests/catalog.rs
@@ -240,3 +240,26 @@
     );
     assert!(log.catalog.since(log.catalog.index()).is_empty());
 }
+
+/// Guards against a log that grows by the whole list with each change of one item.
+#[test]
+fn a_change_is_logged_without_the_items_that_it_leaves_as_they_are() {
+    let mut log = Log::new();
+    log.set(vec![item(4, route())]).unwrap();
+    let removal = |version| Removal {
+        key: ItemKey::Route(RouteName::new("r1").unwrap()),
+        version,
+    };
+    let new = item(5, route());
+    let known =
+        |upserts: Vec<Item>, removals| log.catalog.without_known(Patch { upserts, removals });
+    let rest = known(
+        vec![terms(), item(4, route()), new.clone()],
+        vec![removal(3)],
+    );
+    assert_eq!(rest.upserts, [new]);
+    assert_eq!(rest.removals, []);
+    let rest = known(vec![item(3, route())], vec![removal(5)]);
+    assert_eq!(rest.upserts, []);
+    assert_eq!(rest.removals, [removal(5)]);
+}
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -98,6 +98,31 @@
         }
     }
 
+    /// Returns the index before the last `max` entries up to `index`, or before fewer if
+    /// their commands are over `max_bytes` in total.
+    #[must_use]
+    pub fn tail_start(&self, index: u64, max: u64, max_bytes: usize) -> u64 {
+        let mut start = index;
+        let mut bytes = 0;
+        while index - start < max {
+            let Some(entry) = self.get(start) else {
+                break;
+            };
+            bytes += entry.payload.len_bytes();
+            if bytes > max_bytes {
+                break;
+            }
+            start -= 1;
+        }
+        start
+    }
+
+    /// Length of the commands in memory, in bytes.
+    #[must_use]
+    pub fn len_bytes(&self) -> usize {
+        self.entries.iter().map(|e| e.payload.len_bytes()).sum()
+    }
+
     /// Returns the first index in memory with the same term as the entry at
     /// `index`.
     #[must_use]
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -93,6 +93,8 @@
     commit: u64,
     /// Index of the last entry that the state machine has applied.
     applied: u64,
+    /// Length of the commands applied since the last snapshot, in bytes.
+    applied_bytes: usize,
     election: Election,
     leader: Option<DiskId>,
     /// When the last message from a leader arrived.
@@ -135,6 +137,7 @@
             members_index: 0,
             commit: 0,
             applied: 0,
+            applied_bytes: 0,
             election: Election::Follower,
             leader: None,
             leader_contact_at: None,
@@ -167,6 +170,7 @@
         // The entries after the snapshot may differ from the committed ones.
         self.commit = base.0;
         self.applied = self.applied.max(base.0);
+        self.applied_bytes = 0;
         self.election = Election::Follower;
         self.leader = None;
         self.leader_contact_at = None;
--- a/crates/quorum/src/replica/append.rs
+++ b/crates/quorum/src/replica/append.rs
@@ -121,6 +121,7 @@
                 return false;
             }
             self.applied = index;
+            self.applied_bytes = 0;
         }
         if self.log.term_at(index) == Some(snapshot.term) {
             self.log.compact(index);
--- a/crates/quorum/src/replica/apply.rs
+++ b/crates/quorum/src/replica/apply.rs
@@ -20,7 +20,9 @@
             self.apply(&entry);
         }
         let covered = self.snapshot.as_ref().map_or(0, |s| s.index);
-        if self.applied - covered >= self.settings.compact_entries {
+        if self.applied - covered >= self.settings.compact_entries
+            || self.applied_bytes >= self.settings.compact_bytes
+        {
             self.compact();
         }
     }
@@ -29,6 +31,7 @@
     /// this entry removes from the group becomes a follower.
     fn apply(&mut self, entry: &Entry) {
         let index = entry.index;
+        self.applied_bytes += entry.payload.len_bytes();
         let done = match &entry.payload {
             Payload::Noop => None,
             Payload::Command(command) => {
@@ -60,8 +63,12 @@
         let records = self.snapshot_records(&snapshot);
         self.output.replace_records(records);
         self.snapshot = Some(snapshot);
-        let keep = self.settings.keep_entries;
-        self.log.compact(index.saturating_sub(keep));
+        self.applied_bytes = 0;
+        let keep_bytes = self.settings.compact_bytes / 2;
+        let tail = self
+            .log
+            .tail_start(index, self.settings.keep_entries, keep_bytes);
+        self.log.compact(tail);
     }
 
     /// Members of the group at `index`, which is committed.
--- a/crates/quorum/src/replica/status.rs
+++ b/crates/quorum/src/replica/status.rs
@@ -98,6 +98,12 @@
         }
     }
 
+    /// Length of the commands that the log holds in memory, in bytes.
+    #[must_use]
+    pub fn log_bytes(&self) -> usize {
+        self.log.len_bytes()
+    }
+
     /// Returns the status of the group, as this replica knows it.
     #[must_use]
     pub fn status(&self, now: Instant) -> ReplicaStatus {
--- a/crates/quorum/src/settings.rs
+++ b/crates/quorum/src/settings.rs
@@ -78,6 +78,9 @@
     /// Number of entries before a snapshot that stay in memory, so that a replica
     /// that lags slightly doesn't need the snapshot.
     pub keep_entries: u64,
+    /// Length of the commands applied since the last snapshot after which the log is
+    /// compacted, in bytes. Half of that stays in memory before a snapshot.
+    pub compact_bytes: usize,
     /// Seed for the random election timeouts.
     pub seed: u64,
     /// Whether this machine may take part in the bootstrap of the group.
@@ -109,6 +112,9 @@
 /// Default of [`Settings::compact_entries`].
 pub const COMPACT_ENTRIES: u64 = 4_096;
 
+/// Default of [`Settings::compact_bytes`].
+pub const COMPACT_BYTES: usize = 8 << 20;
+
 /// Default of [`Settings::keep_entries`].
 pub const KEEP_ENTRIES: u64 = 512;
 
@@ -123,6 +129,7 @@
             timing: Timing::default(),
             compact_entries: COMPACT_ENTRIES,
             keep_entries: KEEP_ENTRIES,
+            compact_bytes: COMPACT_BYTES,
             seed,
             may_bootstrap: true,
             open_membership: None,
--- a/crates/quorum/tests/group.rs
+++ b/crates/quorum/tests/group.rs
@@ -3,7 +3,7 @@
 
 mod sim;
 
-use quorum::Role;
+use quorum::{Replica, Role};
 use rstest::rstest;
 use sim::{ClientOutcome, Sim, name};
 use world::ErrorKind;
@@ -259,6 +259,34 @@
     assert_eq!(sim.accepted().len(), 30);
 }
 
+/// Guards against a log that outgrows the memory of its machine, and is too large to be
+/// read at the next start: it was compacted by the number of its entries only.
+#[test]
+fn the_log_is_compacted_by_the_length_of_its_commands() {
+    const COMMAND_BYTES: usize = 8;
+    const COMPACT_BYTES: usize = 20 * COMMAND_BYTES;
+    let mut sim = Sim::with_settings(3, 15, |mut s| {
+        s.compact_bytes = COMPACT_BYTES;
+        s
+    });
+    sim.run_until("all are members", 10_000, Sim::repaired);
+    let leader = sim.leader().expect("leader");
+    for _ in 0..100 {
+        commit_command(&mut sim, leader);
+        for at in 0..3 {
+            let log_bytes = sim.nodes[at].replica.as_ref().map(Replica::log_bytes);
+            assert!(log_bytes < Some(2 * COMPACT_BYTES), "{log_bytes:?}");
+        }
+    }
+    sim.run_ms(1_000);
+    for at in 0..3 {
+        assert!(sim.nodes[at].disk.entries.len() <= 20);
+        sim.crash_with(at, true);
+        sim.start(at);
+    }
+    sim.heal_and_check();
+}
+
 /// An operator removes a machine that doesn't come back by itself; it joins again
 /// with a new disk.
 #[test]
--- a/crates/routed_control/src/commands.rs
+++ b/crates/routed_control/src/commands.rs
@@ -33,8 +33,17 @@
             item.check()?;
         }
         let items = patch.upserts.len() + patch.removals.len();
-        let outcome = self.submit(&Command::Patch(patch)).await;
-        log::info!(target: "hub", items, outcome:? = outcome; "patch of the catalog");
+        // What this replica has applied is durable.
+        let patch = self
+            .catalog
+            .read_local(|catalog| catalog.without_known(patch));
+        let changed = patch.upserts.len() + patch.removals.len();
+        let outcome = if items > 0 && changed == 0 {
+            Ok(())
+        } else {
+            self.submit(&Command::Patch(patch)).await
+        };
+        log::info!(target: "hub", items, changed, outcome:? = outcome; "patch of the catalog");
         outcome
     }
 
