Find the quota of a cold server in closed form

What callers would see: an entry VM that serves nothing any more, from a service whose cold_per_s is 5e9 (seen in the review; no case). Cause: the quota was counted up one by one, under the balancer's lock. Change: the total is rounded down by a cast, which saturates.

--- a/crates/affinity/src/cold.rs
+++ b/crates/affinity/src/cold.rs
@@ -15,12 +15,14 @@
 /// send per window, rounded down. The first `total % entry_vm_count` entry VMs get
 /// one more; `rank` is this entry VM's position in an order that differs by server.
 #[must_use]
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the cast saturates, and takes NaN and negative totals for 0"
+)]
 pub fn quota(total: f64, entry_vm_count: usize, rank: usize) -> usize {
     let entry_vm_count = entry_vm_count.max(1);
-    let mut whole = 0_usize;
-    while f64::from(u32::try_from(whole + 1).unwrap_or(u32::MAX)) <= total {
-        whole += 1;
-    }
+    let whole = total as usize;
     whole / entry_vm_count + usize::from(rank < whole % entry_vm_count)
 }
 
--- a/crates/affinity/tests/affinity_balancer.rs
+++ b/crates/affinity/tests/affinity_balancer.rs
@@ -147,6 +147,23 @@
     }
 }
 
+/// Guards against a service's `cold_per_s` for which the quota was counted up one by one,
+/// for minutes, while the balancer was locked.
+#[test]
+fn a_quota_of_any_number_is_found_at_once() {
+    let start = std::time::Instant::now();
+    let none = [0.0, -0.0, -1.0, 0.999, 1e-300, f64::MIN, f64::NAN];
+    assert_eq!(none.map(|total| quota(total, 3, 0)), [0; 7]);
+    let huge = [5e9, 7.5e9 + 5.0, 1e18].map(|total| quota(total, 1, 0));
+    assert_eq!(
+        huge,
+        [5_000_000_000, 7_500_000_005, 1_000_000_000_000_000_000]
+    );
+    let endless = [f64::MAX, f64::INFINITY].map(|total| quota(total, 11, 10));
+    assert_eq!(endless, [usize::MAX / 11; 2]);
+    assert!(start.elapsed() < std::time::Duration::from_secs(1));
+}
+
 /// Announces every server as cold for ten seconds.
 fn announce_all_cold(balancer: &mut AffinityBalancer, now: Instant) {
     for (domain, _) in DOMAINS {
