--- a/crates/quorum/src/replica/apply.rs
+++ b/crates/quorum/src/replica/apply.rs
@@ -19,6 +19,11 @@
             self.applied = entry.index;
             self.apply(&entry);
         }
+        if self.applied > self.commit {
+            // After a failed write the log may still lack what was applied before, or
+            // hold other entries in its place.
+            return;
+        }
         let covered = self.snapshot.as_ref().map_or(0, |s| s.index);
         if self.applied - covered >= self.settings.compact_entries
             || self.applied_bytes >= self.settings.compact_bytes
--- a/crates/quorum/src/settings.rs
+++ b/crates/quorum/src/settings.rs
@@ -105,7 +105,7 @@
 impl OpenMembership {
     /// Number of voters of which a majority outlives the tolerated losses.
     pub(crate) fn min_voters(&self) -> usize {
-        2 * self.tolerated_losses + 1
+        self.tolerated_losses.saturating_mul(2).saturating_add(1)
     }
 }
 
--- a/crates/quorum/tests/faults.rs
+++ b/crates/quorum/tests/faults.rs
@@ -27,8 +27,8 @@
     }
 }
 
-/// Crashes, isolates or freezes a replica, blocks a link, or ends such a fault, at
-/// random.
+/// Crashes, isolates or freezes a replica, fills its disk, blocks a link, or ends such a
+/// fault, at random.
 fn random_fault(sim: &mut Sim) {
     let at = sim.rng.random_range(0..sim.nodes.len());
     let other = sim.rng.random_range(0..sim.nodes.len());
@@ -40,6 +40,8 @@
         8..12 => sim.blocked_links.clear(),
         12 => sim.nodes[at].frozen = true,
         13..18 => sim.nodes[at].frozen = false,
+        18 | 19 => sim.fill_disk(at),
+        20..28 => sim.empty_disk(at),
         _ => {}
     }
 }
@@ -88,6 +90,8 @@
         16..22 => sim.blocked_links.clear(),
         22 => sim.nodes[leader].frozen = true,
         23..30 => sim.nodes[at].frozen = false,
+        30 | 31 => sim.fill_disk(leader),
+        32..42 => sim.empty_disk(at),
         _ => {}
     }
     drop(sim.propose(leader));
--- a/crates/quorum/tests/losses.rs
+++ b/crates/quorum/tests/losses.rs
@@ -11,7 +11,7 @@
 use rand::RngExt;
 use rand::seq::SliceRandom;
 use rstest::rstest;
-use sim::{ClientOutcome, DiskState, Sim, name};
+use sim::{ClientOutcome, Sim, name};
 
 /// Time after which a machine that is back no longer counts as lost, from the users'
 /// platform (`catch_up_s`).
@@ -61,7 +61,7 @@
         match self {
             Killed | Wiped | Replaced => sim.crash(at),
             Cut => sim.isolate(at),
-            FullDisk => sim.nodes[at].disk_state = DiskState::Full,
+            FullDisk => sim.fill_disk(at),
             Frozen => sim.nodes[at].frozen = true,
         }
     }
--- a/crates/quorum/tests/sim/check.rs
+++ b/crates/quorum/tests/sim/check.rs
@@ -72,6 +72,7 @@
         (self.loss_rate, self.duplicate_rate) = (0.0, 0.0);
         for at in 0..self.nodes.len() {
             self.nodes[at].frozen = false;
+            self.empty_disk(at);
             self.nodes[at].crash_at_sync = None;
             if self.nodes[at].replica.is_none() {
                 self.start(at);
--- a/crates/quorum/tests/sim/mod.rs
+++ b/crates/quorum/tests/sim/mod.rs
@@ -239,6 +239,14 @@
         self.start(at);
     }
 
+    /// Lets a disk refuse its next write.
+    pub fn fill_disk(&mut self, at: usize) {
+        let state = &mut self.nodes[at].disk_state;
+        if *state == DiskState::Works {
+            *state = DiskState::Full;
+        }
+    }
+
     /// Lets a disk that was full take writes again. Its replica goes on from what it
     /// holds.
     pub fn empty_disk(&mut self, at: usize) {
