--- a/review/7/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
 [ -x target/release/waxwing-platform ] && [ -x target/review-2/standins ] || exit 2
-TROUBLE=${TROUBLE:-1} exec target/review-2/standins first-start "$here/record.txt"
+TROUBLE=${TROUBLE:-1} exec target/review-2/standins late-order "$here/record.txt"
--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -99,7 +99,7 @@
     (sent, served)
 }
 
-/// Case 7: the process of one of the three seeds is killed once, while the whole system
+/// Case 8: the process of one of the three seeds is killed once, while the whole system
 /// starts for the first time, and is back half a second later.
 fn first_start(record: &Arc<Record>, trouble: bool) -> i32 {
     let site = Arc::new(Site::new(Arc::clone(record), 6, 3, 2));
@@ -148,16 +148,16 @@
     i32::from(!(accepted && read && served * 4 > sent))
 }
 
-/// Zone that case 8 evacuates, as an index in [`ZONES`].
+/// Zone that case 9 evacuates, as an index in [`ZONES`].
 const EVACUATED: usize = 3;
 
-/// Control VM that case 8 freezes.
+/// Control VM that case 9 freezes.
 const FROZEN: usize = 2;
 
 /// Longest freeze, as in the users' site files.
 const FREEZE_MAX: Duration = Duration::from_millis(5_900);
 
-/// Case 8: a control VM is frozen while the operator ends an evacuation through it. The
+/// Case 9: a control VM is frozen while the operator ends an evacuation through it. The
 /// operator goes on with another node and later evacuates the zone again.
 fn late_order(record: &Arc<Record>, trouble: bool) -> i32 {
     let site = Arc::new(Site::new(Arc::clone(record), 3, 3, 1));
