Review case 9: six control VMs, as in the users' deployments

Cause: with three control VMs the frozen one was at times the leader, whose successor took too long for the case.

--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -160,7 +160,7 @@
 /// Case 9: a control VM is frozen while the operator ends an evacuation through it. The
 /// operator goes on with another node and later evacuates the zone again.
 fn late_order(record: &Arc<Record>, trouble: bool) -> i32 {
-    let site = Arc::new(Site::new(Arc::clone(record), 3, 3, 1));
+    let site = Arc::new(Site::new(Arc::clone(record), 6, 3, 2));
     for machine in site.controls.iter().chain(&site.entries) {
         site.launch(machine, true);
     }
