Review stand-ins: signals without another program

Cause: a machine that plays the cases may have no `kill` program.

Change: review/standins-2 sends its signals by the system call.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -21,9 +21,22 @@
 /// Longest time of a run; after it all processes are ended and the case counts as not run.
 const RUN_MAX: Duration = Duration::from_secs(115);
 
+extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
 /// Sends a signal to one process, by its id.
 fn send_signal(pid: u32, name: &str) {
-    let _ = Command::new("kill").arg(format!("-{name}")).arg(pid.to_string()).status();
+    let signal = match name {
+        "KILL" => 9,
+        "CONT" => 18,
+        "STOP" => 19,
+        _ => return,
+    };
+    // Only processes that this run has started are named here.
+    unsafe {
+        kill(pid as i32, signal);
+    }
 }
 
 /// Ends this run as one that could not be done.
