Bound the time without a byte on a link, not the time for a message

Cause: SILENCE_TIMEOUT moved with whole envelopes, FEED_TIMEOUT bounded the whole call, and the accepting side gave the sending of one envelope 1.25 s as well. A response that the link carries in a longer time was thrown away while its bytes still came in, and asked for again from another control VM.

Change: links record when bytes were last received and sent (peers::progress), and whether a frame was received in part (wire::PartialFrame). A link is silent after 1.25 s without any byte; a feed request fails after 1.5 s without a byte of its response. Pongs alone do not keep a call waiting, since they are whole frames.

A reply that stops half-way is still given up.

--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -25,9 +25,9 @@
 /// updates still arrive from the other.
 const FOLLOWED: usize = 2;
 
-/// Timeout of a feed request: a control VM holds the request for up to half a
-/// second until it has updates, and large responses queued on the network may
-/// delay its response by a second.
+/// Time in which no byte of a feed response arrives after which the request has failed:
+/// a control VM holds it for up to half a second until it has updates, and large responses
+/// queued on the network may delay its response by a second.
 const FEED_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Time for which the catalog of a control VM may be older than the local one:
@@ -327,7 +327,7 @@
             )
             .ok()?;
         let link = self.links.to(addr);
-        match link.call(Body::FeedRequest(Feed { payload }), FEED_TIMEOUT).await {
+        match link.call_while_receiving(Body::FeedRequest(Feed { payload }), FEED_TIMEOUT).await {
             Ok(Body::FeedResponse(response)) => routed_control::feed::decode(&response.payload)
                 .inspect_err(|e| log::warn!(target: "forward", error:% = e; "could not decode a feed response"))
                 .ok(),
--- a/crates/peers/src/accept.rs
+++ b/crates/peers/src/accept.rs
@@ -7,12 +7,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
-use tokio_util::codec::Framed;
 use wire::body::Pong;
-use wire::{Body, Envelope, EnvelopeCodec};
+use wire::{Body, Envelope};
 use world::MachineName;
 
-use crate::handshake::{Identity, Stream};
+use crate::handshake::{Identity, Stream, framed};
+use crate::progress::timeout_without_progress;
 use crate::serve::Serve;
 use crate::{HANDSHAKE_TIMEOUT, SEND_QUEUE_MAX, SILENCE_TIMEOUT};
 
@@ -43,8 +43,7 @@
     identity: Identity,
     serve: Arc<S>,
 ) -> Result<()> {
-    stream.set_nodelay(true)?;
-    let mut stream = Framed::new(stream, EnvelopeCodec::new());
+    let mut stream = framed(stream)?;
     let peer = timeout(HANDSHAKE_TIMEOUT, identity.accept(&mut stream))
         .await
         .context("handshake timed out")??;
@@ -52,14 +51,20 @@
 }
 
 async fn message_loop<S: Serve>(stream: Stream, peer: &MachineName, serve: &Arc<S>) -> Result<()> {
+    let progress = stream.get_ref().progress();
     let (mut sink, mut source) = stream.split();
     let (reply_queue, mut queued_replies) = mpsc::channel(SEND_QUEUE_MAX);
     loop {
         tokio::select! {
             Some(envelope) = queued_replies.recv() => {
-                timeout(SILENCE_TIMEOUT, sink.send(envelope)).await??;
+                let sending = sink.send(envelope);
+                timeout_without_progress(SILENCE_TIMEOUT, || Some(progress.sent_at()), sending)
+                    .await
+                    .context("peer takes no bytes")??;
             }
-            envelope = timeout(SILENCE_TIMEOUT, source.next()) => {
+            envelope = timeout_without_progress(
+                SILENCE_TIMEOUT, || Some(progress.received_at()), source.next(),
+            ) => {
                 let Some(envelope) = envelope.context("peer is silent")? else { return Ok(()) };
                 let envelope = envelope?;
                 serve.on_config_version(peer, envelope.config_version);
--- a/crates/peers/src/handshake.rs
+++ b/crates/peers/src/handshake.rs
@@ -3,14 +3,30 @@
 
 use anyhow::{Context, Result, bail};
 use futures_util::{SinkExt, StreamExt};
+use std::sync::Arc;
+
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
 use wire::body::{Challenge, Hello, Welcome};
 use wire::{Body, Envelope, EnvelopeCodec};
 use world::{MachineName, Secret};
 
+use crate::progress::{Monitored, Progress};
+
 /// A TCP connection framed into envelopes.
-pub type Stream = Framed<TcpStream, EnvelopeCodec>;
+pub type Stream = Framed<Monitored<TcpStream>, EnvelopeCodec>;
+
+/// Frames a new TCP connection.
+///
+/// # Errors
+/// When the connection has ended.
+pub fn framed(stream: TcpStream) -> Result<Stream> {
+    stream.set_nodelay(true)?;
+    let codec = EnvelopeCodec::new();
+    let progress = Progress::new(codec.partial_frame());
+    let stream = Monitored::new(stream, Arc::new(progress));
+    Ok(Framed::new(stream, codec))
+}
 
 /// This machine's name and the deployment's secret, used in handshakes.
 #[derive(Clone, Debug)]
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod links;
 pub mod members;
 pub mod owner;
+pub mod progress;
 pub mod serve;
 
 pub use accept::accept;
@@ -21,7 +22,8 @@
 /// Time between heartbeat messages on a link.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// A link that received nothing for this long is closed: two heartbeats were missed.
+/// A link that received no byte for this long, or that took none of a message to send, is
+/// closed: two heartbeats were missed.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_250);
 
 /// A link that carried no call for this long is closed; the next call reopens it.
--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -1,7 +1,7 @@
 //! The calling side of a link: many concurrent calls over one connection.
 //!
 //! The connection is opened by the first call and kept alive by heartbeats.
-//! When nothing has been received for [`crate::SILENCE_TIMEOUT`] it is closed,
+//! When no byte has been received for [`crate::SILENCE_TIMEOUT`] it is closed,
 //! every pending call fails with [`CallError::Lost`], and the next call opens
 //! a new connection.
 
@@ -15,13 +15,13 @@
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, MissedTickBehavior, interval, timeout, timeout_at};
-use tokio_util::codec::Framed;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until, timeout, timeout_at};
 use wire::body::Ping;
-use wire::{Body, Envelope, EnvelopeCodec};
+use wire::{Body, Envelope};
 use world::{Error, ErrorKind, LockRank, MachineName, RankedMutex};
 
-use crate::handshake::{Identity, Stream};
+use crate::handshake::{Identity, Stream, framed};
+use crate::progress::{Progress, timeout_without_progress};
 use crate::serve::Serve;
 use crate::{
     CONNECT_TIMEOUT_MAX, CONNECT_TIMEOUT_MIN, HANDSHAKE_TIMEOUT, HEARTBEAT_INTERVAL, IDLE_TIMEOUT,
@@ -53,6 +53,8 @@
     sender: Option<mpsc::Sender<Envelope>>,
     /// Number of connections opened so far.
     generation: u64,
+    /// Progress of the open connection.
+    progress: Option<Arc<Progress>>,
     /// Calls that await a reply, by call number.
     pending: HashMap<u64, oneshot::Sender<Body>>,
     peer: Option<MachineName>,
@@ -111,22 +113,60 @@
         max_wait: Duration,
     ) -> std::result::Result<Body, CallError> {
         let deadline = Instant::now() + max_wait;
-        let sender = timeout_at(deadline, self.sender()).await;
-        let sender = sender
-            .map_err(|_| CallError::NotSent)?
-            .map_err(|_| CallError::NotSent)?;
+        let sender = self.sender_before(deadline).await?;
+        let pending_call = self.send_call(&sender, body)?;
+        let reply = timeout_at(deadline, pending_call.reply_receiver).await;
+        reply
+            .map_err(|_| CallError::Lost)?
+            .map_err(|_| CallError::Lost)
+    }
+
+    /// As [`Self::call`], but `max_wait` bounds the time in which no byte of a message
+    /// arrives: a large reply may take longer on a slow link.
+    ///
+    /// # Errors
+    /// Those of [`Self::call`].
+    pub async fn call_while_receiving(
+        self: &Arc<Self>,
+        body: Body,
+        max_wait: Duration,
+    ) -> std::result::Result<Body, CallError> {
+        let sender = self.sender_before(Instant::now() + max_wait).await?;
+        let pending_call = self.send_call(&sender, body)?;
+        let receiving_at = || self.connection.lock().progress.as_ref()?.receiving_at();
+        timeout_without_progress(max_wait, receiving_at, pending_call.reply_receiver)
+            .await
+            .ok_or(CallError::Lost)?
+            .map_err(|_| CallError::Lost)
+    }
+
+    async fn sender_before(
+        self: &Arc<Self>,
+        deadline: Instant,
+    ) -> std::result::Result<mpsc::Sender<Envelope>, CallError> {
+        match timeout_at(deadline, self.sender()).await {
+            Ok(Ok(sender)) => Ok(sender),
+            _ => Err(CallError::NotSent),
+        }
+    }
+
+    /// Queues a request and registers the call for its reply.
+    fn send_call(
+        &self,
+        sender: &mpsc::Sender<Envelope>,
+        body: Body,
+    ) -> std::result::Result<PendingCall<'_, S>, CallError> {
         let call = self.next_call.fetch_add(1, Ordering::Relaxed);
         let (reply_sender, reply_receiver) = oneshot::channel();
         self.connection.lock().pending.insert(call, reply_sender);
-        let pending_call = PendingCall { link: self, call };
+        let entry = PendingEntry { link: self, call };
         if sender.try_send(self.envelope(call, body)).is_err() {
             return Err(CallError::NotSent);
         }
-        let reply = timeout_at(deadline, reply_receiver).await;
-        drop(pending_call);
-        reply
-            .map_err(|_| CallError::Lost)?
-            .map_err(|_| CallError::Lost)
+        Ok(PendingCall {
+            reply_receiver,
+            _entry: entry,
+        })
     }
 
     /// Sends a one-way message. The message is dropped when the peer can't be
@@ -188,6 +228,7 @@
             let mut connection = self.connection.lock();
             connection.generation += 1;
             connection.sender = Some(sender.clone());
+            connection.progress = Some(stream.get_ref().progress());
             connection.peer = Some(peer);
             connection.generation
         };
@@ -196,8 +237,7 @@
     }
 
     async fn handshake(&self, stream: TcpStream) -> Result<(Stream, MachineName)> {
-        stream.set_nodelay(true)?;
-        let mut stream = Framed::new(stream, EnvelopeCodec::new());
+        let mut stream = framed(stream)?;
         let peer = self.identity.open(&mut stream).await?;
         Ok((stream, peer))
     }
@@ -225,30 +265,39 @@
         stream: Stream,
         mut queue: mpsc::Receiver<Envelope>,
     ) -> Result<()> {
+        let progress = stream.get_ref().progress();
+        let sent_at = || Some(progress.sent_at());
         let (mut sink, mut source) = stream.split();
         let mut heartbeat = interval(HEARTBEAT_INTERVAL);
         heartbeat.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut silence_deadline = Instant::now() + SILENCE_TIMEOUT;
         let mut last_used_at = Instant::now();
         loop {
             tokio::select! {
                 envelope = queue.recv() => {
                     let Some(envelope) = envelope else { return Ok(()) };
                     last_used_at = Instant::now();
-                    timeout(SILENCE_TIMEOUT, sink.send(envelope)).await??;
+                    timeout_without_progress(SILENCE_TIMEOUT, sent_at, sink.send(envelope))
+                        .await
+                        .context("peer takes no bytes")??;
                 }
                 _ = heartbeat.tick() => {
                     if last_used_at.elapsed() >= IDLE_TIMEOUT && self.close_if_idle(&mut queue) {
                         return Ok(());
                     }
                     let ping = self.envelope(0, Body::Ping(Ping {}));
-                    timeout(SILENCE_TIMEOUT, sink.send(ping)).await??;
+                    timeout_without_progress(SILENCE_TIMEOUT, sent_at, sink.send(ping))
+                        .await
+                        .context("peer takes no bytes")??;
                 }
-                envelope = timeout_at(silence_deadline, source.next()) => {
-                    let Some(envelope) = envelope.context("peer is silent")? else { return Ok(()) };
-                    silence_deadline = Instant::now() + SILENCE_TIMEOUT;
+                envelope = source.next() => {
+                    let Some(envelope) = envelope else { return Ok(()) };
                     self.handle_reply(envelope?);
                 }
+                () = sleep_until(progress.received_at() + SILENCE_TIMEOUT) => {
+                    // Bytes may have arrived since the deadline was set.
+                    let silent_for = progress.received_at().elapsed();
+                    ensure!(silent_for < SILENCE_TIMEOUT, "peer is silent");
+                }
             }
         }
     }
@@ -277,14 +326,20 @@
     }
 }
 
-/// Removes a call from the pending calls when it ends for any reason, including
-/// when its future is dropped.
+/// A call that awaits its reply.
 struct PendingCall<'a, S> {
+    reply_receiver: oneshot::Receiver<Body>,
+    _entry: PendingEntry<'a, S>,
+}
+
+/// Entry of a call among the pending calls. Removes it when the call ends for any reason,
+/// including when its future is dropped.
+struct PendingEntry<'a, S> {
     link: &'a Link<S>,
     call: u64,
 }
 
-impl<S> Drop for PendingCall<'_, S> {
+impl<S> Drop for PendingEntry<'_, S> {
     fn drop(&mut self) {
         self.link.connection.lock().pending.remove(&self.call);
     }
--- a/crates/routed_control/src/feed_reader.rs
+++ b/crates/routed_control/src/feed_reader.rs
@@ -21,8 +21,8 @@
 /// Time between two checks for control VMs that have joined or left.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Timeout of a feed request: the long-poll wait of 500 ms and a second for the
-/// network.
+/// Time in which no byte of a feed response arrives after which the request has failed:
+/// the long-poll wait of 500 ms and a second for the network.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Delay after a request that failed.
@@ -109,7 +109,7 @@
     };
     let link = links.to(addr);
     match link
-        .call(Body::FeedRequest(Feed { payload }), CALL_TIMEOUT)
+        .call_while_receiving(Body::FeedRequest(Feed { payload }), CALL_TIMEOUT)
         .await
     {
         Ok(Body::FeedResponse(response)) => feed::decode(&response.payload)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,4 +9,4 @@
 pub mod members;
 
 pub use body::{Body, Envelope, Refusal};
-pub use frame::{EnvelopeCodec, FRAME_MAX_BYTES};
+pub use frame::{EnvelopeCodec, FRAME_MAX_BYTES, PartialFrame};
