Send the feed to entry VMs in packed pieces, over one link at a time

Cause: a control VM sent all that an entry VM lacked as one message, and both followed control VMs sent it at the same time, over a link that clients fill. What had arrived of it was lost with the connection, and the next control VM began again.

Change: - A reader has a position in the catalog: log index and key, which means the same at every replica, so that it goes on anywhere, also within a command of 1,400 routes. Responses hold up to 64 KiB of rows of the catalog, and of the registry what is left, at least 32 KiB. - After a response that left rows out, only the follower that got it takes rows; the other one announces the entry VM and asks how far its control VM is. - An entry VM without routes puts none into effect before it has all, and the servers. - Messages of 1 KiB and more are deflated; a piece of the catalog is encoded once for all readers at the same position. - What comes of the feed counts in the pacing of large answers on the link. Readers and control VMs of the version before still understand each other.

The tests of pieces (catalog, discovery, forward) need the new code.

--- a/crates/catalog/src/item.rs
+++ b/crates/catalog/src/item.rs
@@ -53,6 +53,16 @@
         }
     }
 
+    /// Copy without the source text, for readers that don't return items to operators.
+    #[must_use]
+    pub fn without_source(&self) -> Self {
+        Self {
+            version: self.version,
+            body: self.body.clone(),
+            source: "".into(),
+        }
+    }
+
     /// Validates the item by itself, without the items that it refers to.
     ///
     /// # Errors
--- a/crates/catalog/src/state.rs
+++ b/crates/catalog/src/state.rs
@@ -1,7 +1,8 @@
 //! The catalog's state machine: rows, and how commands and rows of other replicas
 //! change them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 
 use quorum::StateMachine;
 use serde::{Deserialize, Serialize};
@@ -9,6 +10,7 @@
 
 use crate::command::{Command, Patch};
 use crate::item::{Body, Item, ItemKey};
+use crate::position::{Position, RowKey};
 
 /// Most leaving backend servers that are stored; the oldest are removed first. Enough
 /// for several releases of a whole site of 600 servers.
@@ -42,6 +44,18 @@
     },
 }
 
+impl Fact {
+    /// Key of the row.
+    #[must_use]
+    pub fn key(&self) -> RowKey {
+        match self {
+            Self::Item { key, .. } => key.clone().into(),
+            Self::Evacuated { domain, .. } => RowKey::Evacuated(domain.clone()),
+            Self::Leaving { server, .. } => RowKey::Leaving(server.clone()),
+        }
+    }
+}
+
 /// A row with the index of the command that set it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Row {
@@ -69,6 +83,9 @@
     evacuated: BTreeMap<DomainName, (u64, bool)>,
     /// Log index and start time of the server, Unix milliseconds.
     leaving: BTreeMap<ServerName, (u64, u64)>,
+    /// Log index and key of each row.
+    #[serde(skip)]
+    order: BTreeSet<(u64, RowKey)>,
 }
 
 impl Catalog {
@@ -111,54 +128,59 @@
         self.evacuated.get(domain).is_some_and(|(_, on)| *on)
     }
 
-    /// Rows set after `index`.
-    #[must_use]
-    pub fn since(&self, index: u64) -> Vec<Row> {
-        let items = self.items.iter().filter(|(_, entry)| entry.index > index);
-        let items = items.map(|(key, entry)| {
-            let fact = Fact::Item {
-                key: key.clone(),
-                version: entry.version,
-                item: entry.item.clone(),
-            };
-            Row {
-                index: entry.index,
-                fact,
-            }
-        });
-        let evacuated = self.evacuated.iter().filter(|(_, (at, _))| *at > index);
-        let evacuated = evacuated.map(|(domain, (index, on))| Row {
-            index: *index,
-            fact: Fact::Evacuated {
+    /// Row that was set at `index`, without the source text of an item.
+    fn row(&self, index: u64, key: &RowKey) -> Option<Row> {
+        let item = |key| {
+            let entry = self.items.get(&key)?;
+            let item = entry.item.as_ref().map(Item::without_source);
+            let version = entry.version;
+            Some(Fact::Item { key, version, item })
+        };
+        let fact = match key {
+            RowKey::Limits => item(ItemKey::Limits)?,
+            RowKey::Service(name) => item(ItemKey::Service(name.clone()))?,
+            RowKey::Route(name) => item(ItemKey::Route(name.clone()))?,
+            RowKey::Evacuated(domain) => Fact::Evacuated {
                 domain: domain.clone(),
-                on: *on,
+                on: self.evacuated.get(domain)?.1,
             },
-        });
-        let leaving = self.leaving.iter().filter(|(_, (at, _))| *at > index);
-        let leaving = leaving.map(|(server, (index, born_ms))| Row {
-            index: *index,
-            fact: Fact::Leaving {
+            RowKey::Leaving(server) => Fact::Leaving {
                 server: server.clone(),
-                born_ms: *born_ms,
+                born_ms: self.leaving.get(server)?.1,
             },
-        });
-        items.chain(evacuated).chain(leaving).collect()
+        };
+        Some(Row { index, fact })
     }
 
-    /// As [`Self::since`], without the source texts of the items, which are most of their
-    /// size. For readers that don't return items to operators.
-    #[must_use]
-    pub fn since_without_source(&self, index: u64) -> Vec<Row> {
-        let mut rows = self.since(index);
-        for row in &mut rows {
-            if let Fact::Item {
-                item: Some(item), ..
-            } = &mut row.fact
-            {
-                item.source = "".into();
-            }
+    /// Rows after `position` in their order, without the source texts of the items, which
+    /// are most of their size.
+    pub fn rows_after(&self, position: &Position) -> impl Iterator<Item = Row> {
+        let start = match &position.last {
+            Some(key) => Bound::Excluded((position.index, key.clone())),
+            None => Bound::Included((position.index.saturating_add(1), RowKey::Limits)),
+        };
+        let keys = self.order.range((start, Bound::Unbounded));
+        keys.filter_map(|(index, key)| self.row(*index, key))
+    }
+
+    /// Records the place of a row in the order of the rows.
+    fn set_order(&mut self, before: Option<u64>, index: u64, key: RowKey) {
+        if let Some(before) = before {
+            self.order.remove(&(before, key.clone()));
         }
-        rows
+        self.order.insert((index, key));
+    }
+
+    /// Order of the rows, which is not part of a snapshot.
+    fn rebuild_order(&mut self) {
+        let items = self.items.iter();
+        let items = items.map(|(key, entry)| (entry.index, key.clone().into()));
+        let evacuated = self.evacuated.iter();
+        let evacuated =
+            evacuated.map(|(domain, (index, _))| (*index, RowKey::Evacuated(domain.clone())));
+        let leaving = self.leaving.iter();
+        let leaving = leaving.map(|(server, (index, _))| (*index, RowKey::Leaving(server.clone())));
+        self.order = items.chain(evacuated).chain(leaving).collect();
     }
 
     /// Merges a row, from a command or from another replica. Returns whether it changed the
@@ -171,12 +193,14 @@
                 if current.is_some_and(|entry| entry.version >= version) {
                     return false;
                 }
+                let before = current.map(|entry| entry.index);
                 let index = row.index;
                 let entry = ItemEntry {
                     index,
                     version,
                     item,
                 };
+                self.set_order(before, index, key.clone().into());
                 self.items.insert(key, entry);
                 true
             }
@@ -185,6 +209,8 @@
                 if current.is_some_and(|(index, _)| *index >= row.index) {
                     return false;
                 }
+                let before = current.map(|(index, _)| *index);
+                self.set_order(before, row.index, RowKey::Evacuated(domain.clone()));
                 self.evacuated.insert(domain, (row.index, on));
                 true
             }
@@ -196,13 +222,17 @@
         if self.is_leaving(&server, born_ms) {
             return false;
         }
+        let before = self.leaving.get(&server).map(|(index, _)| *index);
+        self.set_order(before, index, RowKey::Leaving(server.clone()));
         self.leaving.insert(server, (index, born_ms));
         while self.leaving.len() > LEAVING_MAX {
             let oldest = self.leaving.iter().min_by_key(|(_, (index, _))| *index);
-            let Some(name) = oldest.map(|(name, _)| name.clone()) else {
+            let Some((name, index)) = oldest.map(|(name, (index, _))| (name.clone(), *index))
+            else {
                 break;
             };
             self.leaving.remove(&name);
+            self.order.remove(&(index, RowKey::Leaving(name)));
         }
         true
     }
@@ -303,6 +333,7 @@
     fn restore(&mut self, bytes: &[u8]) -> Result<()> {
         *self = postcard::from_bytes(bytes)
             .map_err(|error| Error::new(ErrorKind::Damaged, error.to_string()))?;
+        self.rebuild_order();
         Ok(())
     }
 }
--- a/crates/catalog/tests/catalog.rs
+++ b/crates/catalog/tests/catalog.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use catalog::{Body, Catalog, Command, Item, ItemKey, Patch, Removal, Table};
+use catalog::{Body, Catalog, Command, Item, ItemKey, Patch, Position, Removal, Row, Table};
 use quorum::StateMachine;
 use rstest::rstest;
 use world::{
@@ -56,6 +56,11 @@
     }
 }
 
+/// Rows of a catalog after a log index.
+fn since(catalog: &Catalog, index: u64) -> Vec<Row> {
+    catalog.rows_after(&Position::at_end_of(index)).collect()
+}
+
 struct Log {
     catalog: Catalog,
     index: u64,
@@ -145,10 +150,10 @@
 fn a_reader_that_is_behind_merges_rows_of_any_replica() {
     let mut log = Log::new();
     let mut reader = Catalog::default();
-    for row in log.catalog.since(0) {
+    for row in since(&log.catalog, 0) {
         reader.merge(row);
     }
-    let old = log.catalog.since(0);
+    let old = since(&log.catalog, 0);
     log.set(vec![item(4, route())]).unwrap();
     let domain = DomainName::new("north-a").unwrap();
     for on in [true, false, true] {
@@ -162,7 +167,7 @@
         born_ms,
     };
     log.apply(&leave).unwrap();
-    for row in log.catalog.since(reader.index()) {
+    for row in since(&log.catalog, reader.index()) {
         reader.merge(row);
     }
     for row in old {
@@ -219,7 +224,7 @@
     });
     let before = log.catalog.index();
     log.set(items.collect()).unwrap();
-    let rows = log.catalog.since_without_source(before);
+    let rows = since(&log.catalog, before);
     let size = postcard::to_stdvec(&rows).unwrap().len();
     // Two control VMs send the change at the same time.
     assert!(2 * size < CHANGE_BYTES_MAX, "{size} bytes");
@@ -238,7 +243,7 @@
         theirs.route(host.as_str(), path).map(|r| &r.name),
         ours.route(host.as_str(), path).map(|r| &r.name)
     );
-    assert!(log.catalog.since(log.catalog.index()).is_empty());
+    assert!(since(&log.catalog, log.catalog.index()).is_empty());
 }
 
 /// Guards against a log that grows by the whole list with each change of one item.
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -6,12 +6,14 @@
 //! changes nothing. Findings of entry VMs spread in the same way. The registry itself
 //! stores nothing on disk: after a restart it fills up from the next announcements.
 
+pub mod changes;
 pub mod finding;
 pub mod near;
 mod record;
 pub mod registry;
 pub mod row;
 
+pub use changes::Changes;
 pub use finding::{Departure, Finding, FindingKey, ServerLimit};
 pub use near::SubstituteScope;
 pub use record::Origin;
--- a/crates/discovery/src/registry.rs
+++ b/crates/discovery/src/registry.rs
@@ -7,16 +7,15 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::ops::Bound;
 use std::time::Duration;
 
 use tokio::time::Instant;
+use world::ServerName;
 use world::unit::{as_ms, ms};
-use world::{MachineName, ServerName};
 
 use crate::finding::Finding;
 use crate::record::{Origin, Record};
-use crate::row::{ControlRow, Key, Row, ServerRow, Update};
+use crate::row::{ControlRow, Key, Row, ServerRow};
 
 /// Most findings that are kept: some crashes of servers with a hundred requests each,
 /// at about 30 bytes a finding.
@@ -62,14 +61,14 @@
     settings: RegistrySettings,
     pub(crate) rows: HashMap<Key, Record>,
     /// Keys of the rows by `announced_clock`.
-    by_announcement: BTreeMap<u64, Key>,
+    pub(crate) by_announcement: BTreeMap<u64, Key>,
     /// Keys of the rows by `changed`.
-    by_change: BTreeMap<u64, Key>,
+    pub(crate) by_change: BTreeMap<u64, Key>,
     servers_at: HashMap<SocketAddr, ServerName>,
     swept_at: Option<Instant>,
     /// End of the time after a suspension in which no row counts as lost.
     catching_up_until: Option<Instant>,
-    clock: u64,
+    pub(crate) clock: u64,
     last_change: u64,
     last_finding: u64,
 }
@@ -278,43 +277,6 @@
         self.clock
     }
 
-    /// Returns the rows announced here after `cursor` that are not lost, and those from
-    /// the control VMs in `relayed`, for another control VM.
-    #[must_use]
-    pub fn announced_since(
-        &self,
-        cursor: u64,
-        relayed: &[MachineName],
-        now: Instant,
-    ) -> Vec<Update> {
-        let passed_on = |record: &&Record| match &record.origin {
-            Origin::Here => true,
-            Origin::ControlVm(name) => relayed.contains(name),
-            Origin::Cache => false,
-        };
-        let announced = self.records_after(&self.by_announcement, cursor);
-        let announced = announced.filter(|record| !record.lost).filter(passed_on);
-        announced.map(|record| record.to_update(now)).collect()
-    }
-
-    /// Returns the rows that changed after `cursor`, including lost ones, for entry
-    /// VMs.
-    #[must_use]
-    pub fn changed_since(&self, cursor: u64, now: Instant) -> Vec<Update> {
-        let changed = self.records_after(&self.by_change, cursor);
-        changed.map(|record| record.to_update(now)).collect()
-    }
-
-    /// Returns the records of an index that come after `cursor`, in order.
-    fn records_after<'a>(
-        &'a self,
-        index: &'a BTreeMap<u64, Key>,
-        cursor: u64,
-    ) -> impl Iterator<Item = &'a Record> {
-        let keys = index.range((Bound::Excluded(cursor), Bound::Unbounded));
-        keys.filter_map(|(_, key)| self.rows.get(key))
-    }
-
     /// Returns the logical clock at the newest change that matters to entry VMs at once.
     /// Findings may wait for the next response to a reader: if each of them woke all
     /// readers, a few in a second would keep hundreds of entry VMs reading.
--- a/crates/discovery/tests/registry.rs
+++ b/crates/discovery/tests/registry.rs
@@ -81,12 +81,29 @@
     registry.merge(Row::Server(server("s1", 80, 1, 1)), 0, now);
     let cursor = registry.clock();
     registry.merge(Row::Server(server("s1", 80, 1, 2)), 0, now);
-    assert!(registry.changed_since(cursor, now).is_empty());
-    assert_eq!(registry.announced_since(cursor, &[], now).len(), 1);
+    assert!(
+        registry
+            .changed_since(cursor, usize::MAX, now)
+            .updates
+            .is_empty()
+    );
+    assert_eq!(
+        registry
+            .announced_since(cursor, &[], usize::MAX, now)
+            .updates
+            .len(),
+        1
+    );
     let mut draining = server("s1", 80, 1, 3);
     draining.draining = true;
     registry.merge(Row::Server(draining), 0, now);
-    assert_eq!(registry.changed_since(cursor, now).len(), 1);
+    assert_eq!(
+        registry
+            .changed_since(cursor, usize::MAX, now)
+            .updates
+            .len(),
+        1
+    );
 }
 
 #[test]
@@ -97,13 +114,15 @@
     let later = now + Duration::from_secs(6);
     assert!(registry.sweep(later));
     let lost: Vec<bool> = registry
-        .changed_since(cursor, later)
+        .changed_since(cursor, usize::MAX, later)
+        .updates
         .iter()
         .map(|n| n.lost)
         .collect();
     registry.merge(Row::Server(server("s1", 80, 1, 2)), 0, later);
     let back: Vec<bool> = registry
-        .changed_since(cursor, later)
+        .changed_since(cursor, usize::MAX, later)
+        .updates
         .iter()
         .map(|n| n.lost)
         .collect();
@@ -272,7 +291,9 @@
 
 /// Names of the servers that another control VM gets after `cursor`.
 fn passed_on(registry: &Registry, cursor: u64, relayed: &[MachineName], now: Instant) -> String {
-    let rows = registry.announced_since(cursor, relayed, now);
+    let rows = registry
+        .announced_since(cursor, relayed, usize::MAX, now)
+        .updates;
     let names = rows.iter().map(|update| format!("{:?}", update.row.key()));
     names.collect::<Vec<_>>().join(" ")
 }
@@ -341,7 +362,13 @@
     .map(|(case, ms, row)| {
         let cursor = registry.clock();
         registry.merge(row, 0, at(ms));
-        format!("{case}: {}", registry.changed_since(cursor, at(ms)).len())
+        format!(
+            "{case}: {}",
+            registry
+                .changed_since(cursor, usize::MAX, at(ms))
+                .updates
+                .len()
+        )
     });
     insta::assert_debug_snapshot!(told);
 }
@@ -378,3 +405,31 @@
     seen.push(names(&registry, later));
     insta::assert_debug_snapshot!(seen);
 }
+
+/// Guards against a whole registry that comes as one message, which a busy link carries for
+/// seconds: a reader takes it in pieces, and rows that change meanwhile come again.
+#[test]
+fn a_reader_takes_the_registry_in_pieces() {
+    let (mut registry, now) = registry();
+    let names: Vec<String> = (0..40).map(|number| format!("s{number}")).collect();
+    for (port, name) in (80..).zip(&names) {
+        registry.merge(Row::Server(server(name, port, 1, 1)), 0, now);
+    }
+    let (mut cursor, mut pieces) = (0, Vec::new());
+    loop {
+        let changes = registry.changed_since(cursor, 400, now);
+        pieces.push(changes.updates.len());
+        if pieces.len() == 2 {
+            let mut draining = server("s0", 80, 1, 2);
+            draining.draining = true;
+            registry.merge(Row::Server(draining), 0, now);
+        }
+        cursor = changes.cursor;
+        if !changes.more {
+            break;
+        }
+    }
+    assert_eq!(cursor, registry.clock());
+    assert_eq!(pieces.iter().sum::<usize>(), names.len() + 1);
+    insta::assert_debug_snapshot!(pieces);
+}
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -9,17 +9,17 @@
 use discovery::{Departure, Finding, Row, ServerLimit, Update};
 use peers::{ClientOnly, Identity, Links};
 use rand::seq::IndexedRandom;
-use routed_control::{FeedRequest, FeedResponse, Reader};
+use routed_control::{FeedPage, FeedRequest, Paging, Reader};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 use wire::Body;
-use wire::body::Feed;
 use world::unit::{as_ms, ms};
 use world::{LockRank, RankedMutex, RegionName, Result};
 
 use crate::dialect::Dialect;
 use crate::state::State;
 use crate::suspension;
+use crate::transfer::Transfer;
 
 /// Control VMs that are followed at a time: while one is being replaced,
 /// updates still arrive from the other.
@@ -65,6 +65,16 @@
 struct Following {
     followed: [Option<IpAddr>; FOLLOWED],
     cursors: BTreeMap<IpAddr, Cursor>,
+    transfer: Transfer,
+}
+
+/// A response of a control VM, with the keys of all rows when it completes a transfer of
+/// the whole registry.
+struct Received {
+    page: FeedPage,
+    /// Whether the control VM has nothing else for this entry VM.
+    is_complete: bool,
+    whole: Option<BTreeSet<discovery::Key>>,
 }
 
 /// Position in the feed of a control VM.
@@ -130,14 +140,20 @@
                 sleep(RETRY_PAUSE).await;
                 continue;
             };
-            let reason = self.follow(ip).await;
+            let reason = self.follow(position, ip).await;
             log::info!(target: "forward", control:% = ip, reason; "stopped following a control VM");
-            self.following.lock().followed[position] = None;
+            self.release(position);
             failed = Some(ip);
             sleep(RETRY_PAUSE).await;
         }
     }
 
+    fn release(&self, position: usize) {
+        let mut following = self.following.lock();
+        following.followed[position] = None;
+        following.transfer.end(position);
+    }
+
     /// Chooses a control VM that is not followed yet, preferably of this region.
     /// After a failure, chooses from all regions, and the failed one only if
     /// there is no other.
@@ -163,31 +179,40 @@
     }
 
     /// Follows one control VM; returns the reason for stopping.
-    async fn follow(&self, ip: IpAddr) -> &'static str {
+    async fn follow(&self, position: usize, ip: IpAddr) -> &'static str {
         let addr = SocketAddr::new(ip, self.state.settings.link_port);
         let known = self.following.lock().cursors.get(&ip).copied();
         let mut cursor = known.unwrap_or_default();
         let mut logged = false;
         let mut caught_up_at = Instant::now();
+        // Keys of the rows so far, while the whole registry is received.
+        let mut keys: Option<BTreeSet<discovery::Key>> = None;
         loop {
             let requested_at = Instant::now();
             let findings = &self.state.findings;
             let (unreported, reported) = findings.unreported(cursor.reported, requested_at);
-            let Some(response) = self.request_feed(addr, cursor, unreported).await else {
+            let transfer = self.following.lock().transfer;
+            let paging = Paging {
+                position: self.state.catalog.lock().position().clone(),
+                takes_rows: transfer.takes_rows(position),
+                continued: transfer.is_receiver(position),
+            };
+            let (takes_rows, index) = (paging.takes_rows, paging.position.index);
+            let Some(page) = self.request_feed(addr, cursor, paging, unreported).await else {
                 return "no answer";
             };
-            let index = self.state.catalog.lock().index();
+            let response = &page.response;
             let (current, newest) = (response.current, response.catalog_index);
-            if !response.current && self.state.routes.load().is_known() {
+            if !current && self.state.routes.load().is_known() {
                 return "cut off from the other control VMs";
             }
-            if response.catalog_index >= index {
+            if newest >= index {
                 caught_up_at = Instant::now();
             } else if caught_up_at.elapsed() > LAG_MAX {
                 return "behind";
             }
             if !logged {
-                log::info!(target: "forward", control:% = ip, index = response.catalog_index; "following");
+                log::info!(target: "forward", control:% = ip, index = newest; "following");
                 logged = true;
             }
             cursor = Cursor {
@@ -195,21 +220,42 @@
                 registry: response.cursor,
                 reported,
             };
-            self.following.lock().cursors.insert(ip, cursor);
-            self.apply_feed(response);
-            if current && newest >= index {
+            if takes_rows {
+                let mut following = self.following.lock();
+                following.cursors.insert(ip, cursor);
+                following.transfer.record(position, page.has_more());
+            }
+            if response.whole {
+                keys = Some(BTreeSet::new());
+            }
+            if let Some(keys) = &mut keys {
+                let rows = response.news.iter().chain(&response.findings);
+                keys.extend(rows.map(|update| update.row.key()));
+            }
+            let is_last = takes_rows && !response.more;
+            let received = Received {
+                whole: if is_last { keys.take() } else { None },
+                is_complete: takes_rows && !page.has_more(),
+                page,
+            };
+            self.apply_feed(received);
+            if current && newest >= index && self.state.catalog.lock().position().covers(newest) {
                 self.state.confirm(requested_at);
             }
         }
     }
 
     /// Applies catalog rows and registry updates of a feed response.
-    fn apply_feed(&self, response: FeedResponse) {
+    fn apply_feed(&self, received: Received) {
         let now = Instant::now();
         let mut controls = Vec::new();
+        let Received {
+            page: FeedPage { response, catalog },
+            is_complete,
+            whole,
+        } = received;
         let mut balancer = self.state.balancer.lock();
-        if response.whole && response.settled {
-            let kept: BTreeSet<_> = response.news.iter().map(|news| news.row.key()).collect();
+        if let Some(kept) = whole.as_ref().filter(|_| response.settled) {
             let removed: Vec<_> = balancer
                 .servers()
                 .filter(|(name, _)| !kept.contains(&discovery::Key::Server((*name).clone())))
@@ -237,11 +283,9 @@
             }
         }
         drop(balancer);
-        self.apply_findings(&response.findings, response.whole);
+        self.apply_findings(&response.findings, whole.as_ref());
         // Last, since a new entry VM becomes ready with the catalog.
-        if !response.catalog.is_empty() {
-            self.state.merge_catalog(response.catalog);
-        }
+        self.state.merge_catalog(catalog, is_complete);
         if controls.is_empty() {
             return;
         }
@@ -255,9 +299,9 @@
         }
     }
 
-    /// Applies findings of other entry VMs; `whole` says that the control VM has no
-    /// others.
-    fn apply_findings(&self, updates: &[Update], whole: bool) {
+    /// Applies findings of other entry VMs; `whole` has the keys of all rows of the control
+    /// VM, once they are known.
+    fn apply_findings(&self, updates: &[Update], whole: Option<&BTreeSet<discovery::Key>>) {
         let now = Instant::now();
         let State {
             findings, crashes, ..
@@ -295,9 +339,9 @@
                 }
             }
         }
-        if whole {
-            let had = updates.iter().filter_map(|update| match &update.row {
-                Row::Finding(finding) => Some(finding.key()),
+        if let Some(whole) = whole {
+            let had = whole.iter().filter_map(|key| match key {
+                discovery::Key::Finding(key) => Some(key.clone()),
                 _ => None,
             });
             findings.restate(&had.collect());
@@ -310,29 +354,38 @@
         &self,
         addr: SocketAddr,
         cursor: Cursor,
+        paging: Paging,
         findings: Vec<Update>,
-    ) -> Option<FeedResponse> {
+    ) -> Option<FeedPage> {
         let request = FeedRequest {
             reader: Reader::Entry,
             me: self.state.announcement(),
             boot: cursor.incarnation,
             cursor: cursor.registry,
-            catalog_index: self.state.catalog.lock().index(),
+            // One that was read in part is read again by a control VM of an earlier
+            // version, which sends whole commands only.
+            catalog_index: paging.position.whole_index(),
             findings,
             relayed: Vec::new(),
+            paging: Some(paging),
         };
-        let payload = routed_control::feed::encode(&request)
+        let request = routed_control::feed::encode_request(&request)
             .inspect_err(
                 |e| log::error!(target: "forward", error:% = e; "could not encode a feed request"),
             )
             .ok()?;
         let link = self.links.to(addr);
-        match link.call_while_receiving(Body::FeedRequest(Feed { payload }), FEED_TIMEOUT).await {
-            Ok(Body::FeedResponse(response)) => routed_control::feed::decode(&response.payload)
-                .inspect_err(|e| log::warn!(target: "forward", error:% = e; "could not decode a feed response"))
-                .ok(),
-            Ok(_) | Err(_) => None,
-        }
+        let response = link.call_while_receiving(Body::FeedRequest(request), FEED_TIMEOUT);
+        let Ok(Body::FeedResponse(response)) = response.await else {
+            return None;
+        };
+        let bytes = response.payload.len() + response.catalog.len();
+        self.state.pace_in.count(bytes);
+        FeedPage::decode(&response)
+            .inspect_err(
+                |e| log::warn!(target: "forward", error:% = e; "could not decode a feed response"),
+            )
+            .ok()
     }
 
     /// Notifies every known control VM, in parallel, that this entry VM is
@@ -345,7 +398,12 @@
                 let addr = SocketAddr::new(ip, follow.state.settings.link_port);
                 let known = follow.following.lock().cursors.get(&ip).copied();
                 let cursor = known.unwrap_or_default();
-                let response = follow.request_feed(addr, cursor, Vec::new()).await;
+                let paging = Paging {
+                    position: follow.state.catalog.lock().position().clone(),
+                    takes_rows: false,
+                    continued: false,
+                };
+                let response = follow.request_feed(addr, cursor, paging, Vec::new()).await;
                 log::info!(
                     target: "forward", control:% = ip, told = response.is_some();
                     "notified a control VM that this entry VM is leaving"
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod body;
+pub mod catalog_copy;
 pub mod connection;
 pub mod crashes;
 pub mod dialect;
@@ -28,6 +29,7 @@
 pub mod shutdown;
 pub mod state;
 pub mod suspension;
+pub mod transfer;
 
 pub use body::ResponseBody;
 pub use dialect::{AttemptHead, Dialect, RequestHead, ResponseHead, Restrictions};
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -7,12 +7,13 @@
 
 use affinity::AffinityBalancer;
 use arc_swap::ArcSwap;
-use catalog::{Catalog, Table};
+use catalog::{Piece, Table};
 use discovery::{EntryRow, Row};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 use world::{LockRank, RankedMutex, Result, Route, Secret};
 
+use crate::catalog_copy::{CatalogCopy, Merged};
 use crate::crashes::Crashes;
 use crate::dialect::{Dialect, RequestHead};
 use crate::findings::Findings;
@@ -62,7 +63,7 @@
     pub routes: ArcSwap<Table>,
     /// Local copy of the catalog, which the control VMs replicate: routes, services,
     /// limits, evacuations and departures of servers.
-    pub catalog: RankedMutex<Catalog>,
+    pub catalog: RankedMutex<CatalogCopy>,
     /// When a control VM last confirmed that the catalog is up to date.
     confirmed_at: RankedMutex<Option<Instant>>,
     /// Balancer over the backend servers.
@@ -102,7 +103,7 @@
         Ok(Self {
             dialect,
             routes: ArcSwap::default(),
-            catalog: RankedMutex::new(LockRank::Config, Catalog::default()),
+            catalog: RankedMutex::new(LockRank::Config, CatalogCopy::default()),
             balancer: RankedMutex::new(
                 LockRank::Affinity,
                 AffinityBalancer::new(settings.balancer.clone(), Instant::now()),
@@ -205,31 +206,22 @@
         self.stats.set_held_bytes(self.memory.held_bytes());
     }
 
-    /// Merges rows into the catalog and updates the routes and the balancer.
-    pub fn merge_catalog(&self, rows: Vec<catalog::Row>) {
+    /// Merges a piece of the catalog, if any was sent, and updates the routes and the
+    /// balancer. `is_complete` tells whether its sender has nothing else for this entry VM.
+    pub fn merge_catalog(&self, piece: Option<Piece>, is_complete: bool) {
         let now = Instant::now();
-        let count = rows.len();
+        let count = piece.as_ref().map_or(0, |piece| piece.rows.len());
         let mut catalog = self.catalog.lock();
-        let mut routes_changed = false;
-        let mut leaving = Vec::new();
-        for row in rows {
-            if let catalog::Fact::Leaving { server, born_ms } = &row.fact {
-                leaving.push((server.clone(), *born_ms));
-            } else {
-                routes_changed |= catalog.merge(row);
-                continue;
-            }
-            catalog.merge(row);
+        let domains = self.settings.balancer.domains.keys().cloned();
+        let Merged { table, leaving } = catalog.merge(piece, is_complete, domains);
+        let (index, routes_changed) = (catalog.position().index, table.is_some());
+        if count > 0 || routes_changed {
+            log::info!(
+                target: "belief", index, rows = count, is_complete, leaving:? = leaving,
+                routes_changed;
+                "catalog rows merged"
+            );
         }
-        let table = routes_changed.then(|| {
-            let domains = self.settings.balancer.domains.keys().cloned();
-            Arc::new(Table::new(&catalog, domains))
-        });
-        let index = catalog.index();
-        log::info!(
-            target: "belief", index, rows = count, leaving:? = leaving, routes_changed;
-            "catalog rows merged"
-        );
         let mut balancer = self.balancer.lock();
         for (server, born_ms) in leaving {
             balancer.mark_leaving(&server, born_ms);
@@ -237,7 +229,7 @@
         if let Some(table) = table {
             balancer.set_terms(table.services());
             balancer.set_evacuated(table.evacuated(), now);
-            self.routes.store(table);
+            self.routes.store(Arc::new(table));
         }
     }
 
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -447,7 +447,12 @@
             item: Some(item.clone()),
         },
     });
-    state.merge_catalog(rows.collect());
+    let piece = catalog::Piece {
+        rows: rows.collect(),
+        next: catalog::Position::at_end_of(items.len() as u64),
+        more: false,
+    };
+    state.merge_catalog(Some(piece), true);
     for server in servers {
         state
             .balancer
--- a/crates/routed_control/src/control_vm.rs
+++ b/crates/routed_control/src/control_vm.rs
@@ -21,10 +21,10 @@
 
 use crate::cache::{Cache, CachedRows};
 use crate::feed_reader;
+use crate::feed_responses::Shared;
 use crate::replication_transport::{CATALOG_GROUP, PeerTransport};
 use crate::serve::MessageHandler;
 use crate::settings::{Settings, name_of};
-use crate::whole::WholeResponses;
 
 /// Time after a start in which some backend servers may not have announced
 /// themselves yet: two announcement intervals of 1.5 s and the network delay.
@@ -54,8 +54,8 @@
     pub(crate) newest_row: watch::Sender<u64>,
     /// Version of the registry's newest change that matters to entry VMs, which watch it.
     pub(crate) newest_change: watch::Sender<u64>,
-    /// Responses to entry VMs without a cursor.
-    pub(crate) whole: WholeResponses,
+    /// Responses that several readers of the feed get.
+    pub(crate) shared: Shared,
     /// Random id of this start.
     pub(crate) boot: u64,
     sequence: AtomicU64,
@@ -97,7 +97,7 @@
             ),
             newest_row: watch::Sender::new(0),
             newest_change: watch::Sender::new(0),
-            whole: WholeResponses::default(),
+            shared: Shared::default(),
             boot: rand::random::<u64>().max(1),
             sequence: AtomicU64::new(1),
             started_at: Instant::now(),
--- a/crates/routed_control/src/feed_reader.rs
+++ b/crates/routed_control/src/feed_reader.rs
@@ -6,15 +6,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use catalog::Position;
 use discovery::Origin;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use wire::Body;
-use wire::body::Feed;
 use world::{LockRank, MachineName, RankedMutex};
 
 use crate::control_vm::ControlVm;
-use crate::feed::{self, FeedRequest, FeedResponse, Reader};
+use crate::feed::{self, FeedPage, FeedRequest, Paging, Reader};
 use crate::reach::Reach;
 use crate::settings::name_of;
 
@@ -57,7 +57,7 @@
     let Ok(name) = name_of(ip) else {
         return;
     };
-    let (mut boot, mut cursor) = (0, 0);
+    let (mut boot, mut cursor, mut continued) = (0, 0, false);
     let mut relayed: Vec<MachineName> = Vec::new();
     loop {
         let silent = reach.lock().relayed_by(ip);
@@ -79,16 +79,22 @@
             catalog_index: 0,
             findings: Vec::new(),
             relayed: relayed.clone(),
+            paging: Some(Paging {
+                position: Position::default(),
+                takes_rows: true,
+                continued,
+            }),
         };
         let response = request_feed(&control_vm, addr, &request).await;
         if reach.lock().record(ip, response.is_some()) {
             log::info!(target: "hub", control:% = ip, reached = response.is_some(); "control VM");
         }
-        let Some(response) = response else {
+        let Some(FeedPage { response, .. }) = response else {
+            continued = false;
             sleep(RETRY_DELAY).await;
             continue;
         };
-        (boot, cursor) = (response.boot, response.cursor);
+        (boot, cursor, continued) = (response.boot, response.cursor, response.more);
         let origin = Origin::ControlVm(name.clone());
         control_vm.merge_from(&origin, response.news.into_iter().chain(response.findings));
     }
@@ -98,10 +104,10 @@
     control_vm: &ControlVm,
     addr: SocketAddr,
     request: &FeedRequest,
-) -> Option<FeedResponse> {
+) -> Option<FeedPage> {
     let links = control_vm.links.get()?;
-    let payload = match feed::encode(request) {
-        Ok(payload) => payload,
+    let request = match feed::encode_request(request) {
+        Ok(request) => request,
         Err(error) => {
             log::error!(target: "hub", error:% = error; "failed to encode a feed request");
             return None;
@@ -109,10 +115,10 @@
     };
     let link = links.to(addr);
     match link
-        .call_while_receiving(Body::FeedRequest(Feed { payload }), CALL_TIMEOUT)
+        .call_while_receiving(Body::FeedRequest(request), CALL_TIMEOUT)
         .await
     {
-        Ok(Body::FeedResponse(response)) => feed::decode(&response.payload)
+        Ok(Body::FeedResponse(response)) => FeedPage::decode(&response)
             .inspect_err(
                 |e| log::warn!(target: "hub", error:% = e; "failed to decode a feed response"),
             )
--- a/crates/routed_control/src/lib.rs
+++ b/crates/routed_control/src/lib.rs
@@ -8,12 +8,13 @@
 pub mod feed;
 pub mod feed_reader;
 mod feed_responses;
+pub mod pack;
 pub mod reach;
 pub mod replication_transport;
 pub mod serve;
 pub mod settings;
-pub mod whole;
+pub mod shared_responses;
 
 pub use control_vm::ControlVm;
-pub use feed::{FeedRequest, FeedResponse, Reader};
+pub use feed::{FeedPage, FeedRequest, FeedResponse, Paging, Reader};
 pub use settings::Settings;
--- a/crates/routed_control/src/serve.rs
+++ b/crates/routed_control/src/serve.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use peers::Serve;
-use wire::body::{Feed, LogIndex};
+use wire::body::LogIndex;
 use wire::{Body, Refusal};
 use world::{Error, ErrorKind, MachineName, Result};
 
@@ -30,11 +30,9 @@
                 Ok(None)
             }
             Body::FeedRequest(request) => {
-                let payload = self
-                    .control_vm
-                    .feed(feed::decode(&request.payload)?)
-                    .await?;
-                Ok(Some(Body::FeedResponse(Feed { payload })))
+                let request = feed::decode(&request.payload)?;
+                let response = self.control_vm.feed(request).await?;
+                Ok(Some(Body::FeedResponse(response)))
             }
             Body::CommandRequest(request) => {
                 self.control_vm.propose_here(&request.payload).await?;
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -136,6 +136,12 @@
     /// Encoded message.
     #[prost(bytes = "bytes", tag = "1")]
     pub payload: bytes::Bytes,
+    /// Encoded piece of the catalog, which many readers share; empty when there is none.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub catalog: bytes::Bytes,
+    /// Whether the payload and the piece of the catalog are packed.
+    #[prost(bool, tag = "3")]
+    pub packed: bool,
 }
 
 /// Command for the catalog, in the encoding of crate `catalog`.
