Carry out no order that may be older than one that is in effect

The order to end the earlier evacuation had lain unread at a frozen control VM; the operator went on to another node after a second, both orders were acknowledged there, then the frozen one woke and had the old order committed behind the newer one.

Cause: an order to start or end an evacuation was proposed as it stood, and applied as the last one in the log. Nothing tied it to the time it was sent.

Change: - The command names the last change of the failure domain that its receiver knew (EvacuateSince). The log decides: behind another change it does nothing. This covers forwarded and repeated commands, also in send queues. - A receiver that has caught up before it reads the order knows the newer state, so it also has to know that the order may have waited.

Looked at, and safe by their own guard: patches (versions), departures (start time), changes of the product's own lists and drains (base version and id), operations of the ledger (key).

A control VM of the version before can't read the new command: all control VMs have to be replaced before the next evacuation.

--- a/crates/catalog/src/command.rs
+++ b/crates/catalog/src/command.rs
@@ -28,7 +28,7 @@
 pub enum Command {
     /// Sets and removes items.
     Patch(Patch),
-    /// Starts or ends the evacuation of a failure domain.
+    /// Starts or ends the evacuation of a failure domain. Only in logs of earlier versions.
     Evacuate {
         /// The failure domain.
         domain: DomainName,
@@ -42,6 +42,15 @@
         /// Start time of the server, Unix milliseconds.
         born_ms: u64,
     },
+    /// As [`Self::Evacuate`], unless the failure domain was changed since the order came.
+    EvacuateSince {
+        /// The failure domain.
+        domain: DomainName,
+        /// Whether the domain is evacuated, so that it gets no work.
+        on: bool,
+        /// Log index of the domain's last change that the receiver of the order knew.
+        known: u64,
+    },
 }
 
 impl Command {
--- a/crates/catalog/src/state.rs
+++ b/crates/catalog/src/state.rs
@@ -128,6 +128,13 @@
         self.evacuated.get(domain).is_some_and(|(_, on)| *on)
     }
 
+    /// Log index of the command that last started or ended the evacuation of a failure
+    /// domain; 0 when none did.
+    #[must_use]
+    pub fn evacuation_index(&self, domain: &DomainName) -> u64 {
+        self.evacuated.get(domain).map_or(0, |(index, _)| *index)
+    }
+
     /// Row that was set at `index`, without the source text of an item.
     fn row(&self, index: u64, key: &RowKey) -> Option<Row> {
         let item = |key| {
@@ -300,6 +307,15 @@
     }
 }
 
+impl Catalog {
+    fn evacuate(&mut self, index: u64, domain: DomainName, on: bool) {
+        if self.is_evacuated(&domain) != on {
+            let fact = Fact::Evacuated { domain, on };
+            self.merge(Row { index, fact });
+        }
+    }
+}
+
 impl StateMachine for Catalog {
     type Output = Result<()>;
 
@@ -309,10 +325,15 @@
         match command {
             Command::Patch(patch) => self.patch(index, patch),
             Command::Evacuate { domain, on } => {
-                if self.is_evacuated(&domain) != on {
-                    let fact = Fact::Evacuated { domain, on };
-                    self.merge(Row { index, fact });
+                self.evacuate(index, domain, on);
+                Ok(())
+            }
+            Command::EvacuateSince { domain, on, known } => {
+                if self.is_evacuated(&domain) != on && self.evacuation_index(&domain) != known {
+                    let text = format!("another order on {domain} came first");
+                    return Err(Error::new(ErrorKind::Outdated, text));
                 }
+                self.evacuate(index, domain, on);
                 Ok(())
             }
             Command::Leave { server, born_ms } => {
--- a/crates/catalog/tests/catalog.rs
+++ b/crates/catalog/tests/catalog.rs
@@ -268,3 +268,37 @@
     assert_eq!(rest.upserts, []);
     assert_eq!(rest.removals, [removal(5)]);
 }
+
+/// Guards against an order that lay unread at a control VM and is committed behind a newer
+/// one of the same failure domain.
+#[test]
+fn an_order_behind_a_newer_one_changes_nothing() {
+    let mut log = Log::new();
+    let domain = DomainName::new("north-a").unwrap();
+    let order = |on, known| Command::EvacuateSince {
+        domain: domain.clone(),
+        on,
+        known,
+    };
+    let known = log.catalog.evacuation_index(&domain);
+    log.apply(&order(true, known)).unwrap();
+    let known = log.catalog.evacuation_index(&domain);
+    // The order to end it came to two control VMs; a newer one to start it came in between.
+    let late = order(false, known);
+    log.apply(&late).unwrap();
+    let known = log.catalog.evacuation_index(&domain);
+    log.apply(&order(true, known)).unwrap();
+    let error = log.apply(&late).unwrap_err();
+    assert_eq!(error.kind, world::ErrorKind::Outdated);
+    assert!(log.catalog.is_evacuated(&domain));
+    // An order that is sent again is acknowledged again while it is in effect.
+    log.apply(&order(true, known)).unwrap();
+    // Orders in the log of an earlier version have no condition.
+    let on = false;
+    log.apply(&Command::Evacuate {
+        domain: domain.clone(),
+        on,
+    })
+    .unwrap();
+    assert!(!log.catalog.is_evacuated(&domain));
+}
--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use discovery::{Departure, Finding, Row, ServerLimit, Update};
-use peers::{ClientOnly, Identity, Links};
+use peers::{ClientOnly, Identity, Links, suspension};
 use rand::seq::IndexedRandom;
 use routed_control::{FeedPage, FeedRequest, Paging, Reader};
 use tokio::task::JoinSet;
@@ -18,7 +18,6 @@
 
 use crate::dialect::Dialect;
 use crate::state::State;
-use crate::suspension;
 use crate::transfer::Transfer;
 
 /// Control VMs that are followed at a time: while one is being replaced,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -28,7 +28,6 @@
 mod retry;
 pub mod shutdown;
 pub mod state;
-pub mod suspension;
 pub mod transfer;
 
 pub use body::ResponseBody;
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod owner;
 pub mod progress;
 pub mod serve;
+pub mod suspension;
 
 pub use accept::accept;
 pub use handshake::Identity;
--- a/crates/forward/src/suspension.rs
+++ b/crates/peers/src/suspension.rs
@@ -5,6 +5,19 @@
 
 use nix::time::{ClockId, clock_gettime};
 
+/// Time since the machine was started, with suspensions; 0 when the clock can't be read.
+#[must_use]
+pub fn boot_time() -> Duration {
+    read().unwrap_or_default()
+}
+
+fn read() -> Option<Duration> {
+    let read = clock_gettime(ClockId::CLOCK_BOOTTIME).inspect_err(
+        |error| log::warn!(target: "peers", error:% = error; "could not read the boot-time clock"),
+    );
+    read.ok().map(Duration::from)
+}
+
 /// A reading of the boot-time clock.
 #[derive(Clone, Copy, Debug)]
 pub struct BootClock(Option<Duration>);
@@ -13,10 +26,7 @@
     /// Reads the clock.
     #[must_use]
     pub fn now() -> Self {
-        let read = clock_gettime(ClockId::CLOCK_BOOTTIME).inspect_err(
-            |error| log::warn!(target: "forward", error:% = error; "could not read the boot-time clock"),
-        );
-        Self(read.ok().map(Duration::from))
+        Self(read())
     }
 
     /// Reads the clock again; returns the time since the last reading, or zero if
--- a/crates/routed_control/src/commands.rs
+++ b/crates/routed_control/src/commands.rs
@@ -50,23 +50,42 @@
     /// Starts (`on`) or ends the evacuation of a failure domain.
     ///
     /// # Errors
-    /// [`ErrorKind::BadRequest`] for an unknown domain; others when it is not known whether
-    /// the command is durable.
+    /// [`ErrorKind::BadRequest`] for an unknown domain; [`ErrorKind::Outdated`] when a newer
+    /// order may be in effect; others when it is not known whether the command is durable.
     pub async fn evacuate(&self, domain: DomainName, on: bool) -> Result<()> {
         if !self.settings.domains.contains_key(&domain) {
             let text = format!("no failure domain {domain}");
             return Err(Error::new(ErrorKind::BadRequest, text));
         }
-        let outcome = self
-            .submit(&Command::Evacuate {
-                domain: domain.clone(),
-                on,
-            })
-            .await;
+        let outcome = self.evacuate_since_now(&domain, on).await;
         log::info!(target: "hub", domain:% = domain, on, outcome:? = outcome; "evacuation");
         outcome
     }
 
+    async fn evacuate_since_now(&self, domain: &DomainName, on: bool) -> Result<()> {
+        self.check_recent()?;
+        let known = |catalog: &Catalog| catalog.evacuation_index(domain);
+        let command = Command::EvacuateSince {
+            domain: domain.clone(),
+            on,
+            known: self.catalog.read_local(known),
+        };
+        self.submit(&command).await
+    }
+
+    /// Checks that an order which was just read did not wait for this process, so that its
+    /// sender may have gone on to another control VM, and to newer orders.
+    ///
+    /// # Errors
+    /// [`ErrorKind::Outdated`] when it may have waited.
+    pub fn check_recent(&self) -> Result<()> {
+        if self.observe_interruptions() {
+            let text = "the order may have waited while this control VM was interrupted";
+            return Err(Error::new(ErrorKind::Outdated, text));
+        }
+        Ok(())
+    }
+
     /// Records that the start of a backend server at `born_ms` gets no new work.
     ///
     /// # Errors
--- a/crates/routed_control/src/control_vm.rs
+++ b/crates/routed_control/src/control_vm.rs
@@ -12,8 +12,8 @@
     ControlRow, EntryRow, Origin, Registry, RegistrySettings, Row, ServerRow, SubstituteScope,
     Update,
 };
-use peers::{Identity, Links, accept};
-use quorum::{FileDisk, OpenMembership};
+use peers::{Identity, Links, accept, suspension};
+use quorum::{FileDisk, OpenMembership, Role};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -22,9 +22,11 @@
 use crate::cache::{Cache, CachedRows};
 use crate::feed_reader;
 use crate::feed_responses::Shared;
+use crate::interruptions::{Interruptions, OBSERVATION_INTERVAL};
+use crate::reach::Reach;
 use crate::replication_transport::{CATALOG_GROUP, PeerTransport};
 use crate::serve::MessageHandler;
-use crate::settings::{Settings, name_of};
+use crate::settings::{self, Settings, name_of};
 
 /// Time after a start in which some backend servers may not have announced
 /// themselves yet: two announcement intervals of 1.5 s and the network delay.
@@ -54,6 +56,9 @@
     pub(crate) newest_row: watch::Sender<u64>,
     /// Version of the registry's newest change that matters to entry VMs, which watch it.
     pub(crate) newest_change: watch::Sender<u64>,
+    /// Which other control VMs answer this one.
+    pub(crate) reach: RankedMutex<Reach>,
+    interruptions: RankedMutex<Interruptions>,
     /// Responses that several readers of the feed get.
     pub(crate) shared: Shared,
     /// Random id of this start.
@@ -97,6 +102,11 @@
             ),
             newest_row: watch::Sender::new(0),
             newest_change: watch::Sender::new(0),
+            reach: RankedMutex::new(LockRank::Members, Reach::default()),
+            interruptions: RankedMutex::new(
+                LockRank::Members,
+                Interruptions::new(suspension::boot_time()),
+            ),
             shared: Shared::default(),
             boot: rand::random::<u64>().max(1),
             sequence: AtomicU64::new(1),
@@ -112,6 +122,7 @@
         tokio::spawn(Arc::clone(&control_vm).save_periodically());
         tokio::spawn(Arc::clone(&control_vm).sweep_periodically());
         tokio::spawn(feed_reader::run(Arc::clone(&control_vm)));
+        tokio::spawn(Arc::clone(&control_vm).observe_periodically());
         Ok(control_vm)
     }
 
@@ -233,17 +244,43 @@
         ips.extend(registry.controls().map(|row| row.link.ip()));
         drop(registry);
         let members = self.catalog.status().members;
-        ips.extend(
-            members
-                .iter()
-                .filter_map(|m| crate::settings::ip_of(&m.name)),
-        );
+        ips.extend(members.iter().filter_map(|m| settings::ip_of(&m.name)));
         ips.sort();
         ips.dedup();
         ips.retain(|ip| *ip != self.settings.ip);
         ips
     }
 
+    /// Records whether another control VM answered. Returns whether that is a change.
+    pub(crate) fn record_reach(&self, other: IpAddr, answered: bool) -> bool {
+        let mut reach = self.reach.lock();
+        reach.record(other, answered, Instant::now())
+    }
+
+    /// Looks at the clock and at the contact to other control VMs. Returns whether an order
+    /// that was just read may have waited.
+    pub(crate) fn observe_interruptions(&self) -> bool {
+        let members = self.catalog.status().members;
+        let voters = members.iter().filter(|member| member.role == Role::Voter);
+        let voters: Vec<IpAddr> = voters.filter_map(|v| settings::ip_of(&v.name)).collect();
+        let reach = self.reach.lock();
+        let in_contact = reach.has_contact(self.settings.ip, &voters, Instant::now());
+        drop(reach);
+        let now = suspension::boot_time();
+        self.interruptions.lock().observe(now, in_contact)
+    }
+
+    async fn observe_periodically(self: Arc<Self>) {
+        let mut is_interrupted = true;
+        loop {
+            tokio::time::sleep(OBSERVATION_INTERVAL).await;
+            let before = std::mem::replace(&mut is_interrupted, self.observe_interruptions());
+            if before != is_interrupted {
+                log::info!(target: "hub", is_interrupted; "orders may have waited for this control VM");
+            }
+        }
+    }
+
     fn cache(&self) -> Cache {
         Cache::new(&self.settings.data_dir)
     }
--- a/crates/routed_control/src/feed_reader.rs
+++ b/crates/routed_control/src/feed_reader.rs
@@ -11,11 +11,10 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use wire::Body;
-use world::{LockRank, MachineName, RankedMutex};
+use world::MachineName;
 
 use crate::control_vm::ControlVm;
 use crate::feed::{self, FeedPage, FeedRequest, Paging, Reader};
-use crate::reach::Reach;
 use crate::settings::name_of;
 
 /// Time between two checks for control VMs that have joined or left.
@@ -31,7 +30,6 @@
 /// Runs one task for each known control VM, which reads its feed.
 pub async fn run(control_vm: Arc<ControlVm>) {
     let mut reader_tasks: HashMap<IpAddr, JoinHandle<()>> = HashMap::new();
-    let reach = Arc::new(RankedMutex::new(LockRank::Members, Reach::default()));
     loop {
         let control_vms = control_vm.controls();
         reader_tasks.retain(|ip, task| {
@@ -41,18 +39,18 @@
             }
             keep
         });
-        reach.lock().retain(&control_vms);
+        control_vm.reach.lock().retain(&control_vms);
         for ip in control_vms {
-            let (control_vm, reach) = (Arc::clone(&control_vm), Arc::clone(&reach));
+            let control_vm = Arc::clone(&control_vm);
             reader_tasks
                 .entry(ip)
-                .or_insert_with(|| tokio::spawn(read_feed(control_vm, ip, reach)));
+                .or_insert_with(|| tokio::spawn(read_feed(control_vm, ip)));
         }
         sleep(DISCOVERY_INTERVAL).await;
     }
 }
 
-async fn read_feed(control_vm: Arc<ControlVm>, ip: IpAddr, reach: Arc<RankedMutex<Reach>>) {
+async fn read_feed(control_vm: Arc<ControlVm>, ip: IpAddr) {
     let addr = SocketAddr::new(ip, control_vm.settings.link_port);
     let Ok(name) = name_of(ip) else {
         return;
@@ -60,7 +58,7 @@
     let (mut boot, mut cursor, mut continued) = (0, 0, false);
     let mut relayed: Vec<MachineName> = Vec::new();
     loop {
-        let silent = reach.lock().relayed_by(ip);
+        let silent = control_vm.reach.lock().relayed_by(ip);
         let relayed_now = silent
             .into_iter()
             .filter_map(|ip| name_of(ip).ok())
@@ -86,7 +84,7 @@
             }),
         };
         let response = request_feed(&control_vm, addr, &request).await;
-        if reach.lock().record(ip, response.is_some()) {
+        if control_vm.record_reach(ip, response.is_some()) {
             log::info!(target: "hub", control:% = ip, reached = response.is_some(); "control VM");
         }
         let Some(FeedPage { response, .. }) = response else {
--- a/crates/routed_control/src/lib.rs
+++ b/crates/routed_control/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod feed;
 pub mod feed_reader;
 mod feed_responses;
+pub mod interruptions;
 pub mod pack;
 pub mod reach;
 pub mod replication_transport;
--- a/crates/world/src/kind.rs
+++ b/crates/world/src/kind.rs
@@ -128,6 +128,8 @@
     LedgerAway => "ledger_away", 503, NotRun, Some(1_000);
     /// The change is based on another version than the current one.
     Conflict => "conflict", 409, NotRun, None;
+    /// A newer order may be in effect already; one that still stands is sent again.
+    Outdated => "outdated", 503, Unknown, Some(0);
     /// The change id was used before for a different change.
     ChangeIdReused => "change_id_reused", 409, NotRun, None;
     /// This replica is not the leader of its group.
