Take no response without a final status for an answer

Cause: the library takes statuses up to 999, and 101 in reply to a request that did not ask for another protocol; nothing behind it looked at the range.

Change: a response whose status is not within 200..=599 is broken: its connection is closed, nothing else in its head counts (not even that it was not run), its request may have run. It is repeated elsewhere where it may be, else the client gets 502.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -13,7 +13,7 @@
 use hyper::{Request, Response};
 use tokio::time::{Instant, timeout_at};
 use world::unit::as_ms;
-use world::{Error, ErrorKind, RunStatus, ServerName};
+use world::{Error, ErrorKind, FINAL_STATUSES, RunStatus, ServerName};
 
 use crate::cross_vm::{CREDIT_HEADER, CrossVmPermit, REGION_HEADER, SUSPECT_HEADER};
 use crate::destination::Destination;
@@ -240,8 +240,8 @@
     (Outcome::ConnectionLost, failure)
 }
 
-/// Checks that the response echoes the request id and is not a refusal or a server
-/// error.
+/// Checks that the response echoes the request id, has a final status, and is not a
+/// refusal or a server error.
 ///
 /// # Errors
 /// [`Failure`]; the attempt's slot is released with its outcome, except that a
@@ -259,6 +259,15 @@
         let text = format!("{} answered another request", peer.name);
         return Err(Failure::unknown(Error::new(ErrorKind::BadAnswer, text)));
     }
+    if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+        open_attempt.end(Outcome::Failed);
+        let text = format!(
+            "{} answered with status {}",
+            peer.name,
+            head.status.as_u16()
+        );
+        return Err(Failure::unknown(Error::new(ErrorKind::BadAnswer, text)));
+    }
     if let Some(failure) = refusal(&head, &open_attempt, peer) {
         let retry_after_ms = number(&head.headers, headers::RETRY_AFTER_MS);
         let outcome = if failure.may_have_run {
--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -20,6 +20,7 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
+use world::FINAL_STATUSES;
 
 use crate::head_limit::{HeadLimit, HeadLimited};
 
@@ -136,13 +137,19 @@
         });
         let received = sent.await;
         self.head_limit.end();
-        received.map_err(|error| {
+        let response = received.map_err(|error| {
             if error.is_canceled() {
                 return Failure::Unsent;
             }
             log::debug!(target: "forward", error:% = error; "no response on a connection");
             Failure::Closed
-        })
+        })?;
+        let status = response.status().as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            log::info!(target: "forward", status; "response without a final status");
+            return Err(Failure::Closed);
+        }
+        Ok(response)
     }
 
     /// Reads the next frame of a response body.
--- a/crates/forward/tests/broken_answers.rs
+++ b/crates/forward/tests/broken_answers.rs
@@ -111,3 +111,100 @@
     let ids: Vec<&str> = received.iter().map(|(id, _)| id.as_str()).collect();
     assert_eq!(ids, ["r1", "r2", "r3"], "each request runs once");
 }
+
+/// Responses whose status no response may have, or that stop after interim ones.
+const NO_FINAL_STATUS: [(&str, &str); 10] = [
+    (
+        "000",
+        "HTTP/1.1 000 X\r\nx-id: ID\r\nx-seal: 1\r\ncontent-length: 3\r\n\r\nbad",
+    ),
+    (
+        "099",
+        "HTTP/1.1 099 X\r\nx-id: ID\r\nx-seal: 1\r\ncontent-length: 3\r\n\r\nbad",
+    ),
+    (
+        "20",
+        "HTTP/1.1 20 X\r\nx-id: ID\r\nx-seal: 1\r\ncontent-length: 3\r\n\r\nbad",
+    ),
+    (
+        "2000",
+        "HTTP/1.1 2000 X\r\nx-id: ID\r\nx-seal: 1\r\ncontent-length: 3\r\n\r\nbad",
+    ),
+    (
+        "600",
+        "HTTP/1.1 600 X\r\nx-id: ID\r\nx-seal: 1\r\ncontent-length: 3\r\n\r\nbad",
+    ),
+    (
+        "999",
+        "HTTP/1.1 999 X\r\nx-id: ID\r\nx-seal: 1\r\ncontent-length: 3\r\n\r\nbad",
+    ),
+    (
+        "600, large",
+        "HTTP/1.1 600 X\r\nx-id: ID\r\nx-seal: 1\r\ncontent-length: 80000\r\n\r\nbad",
+    ),
+    (
+        "600, not run",
+        "HTTP/1.1 600 X\r\nx-id: ID\r\nx-not-run: 1\r\ncontent-length: 3\r\n\r\nbad",
+    ),
+    (
+        "101",
+        "HTTP/1.1 101 X\r\nx-id: ID\r\nx-seal: 1\r\nconnection: upgrade\r\nupgrade: x\r\n\r\nbad",
+    ),
+    (
+        "100 twice and 103",
+        "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 100 X\r\n\r\nHTTP/1.1 103 X\r\nx-id: ID\r\n\r\n",
+    ),
+];
+
+/// Guards against a status that HTTP does not have, such as 000 of a server in trouble, which
+/// a client gets as an answer: it is a broken response to a request that may have run.
+#[rstest]
+#[case::once(RequestKind::Unsafe)]
+#[case::safe(RequestKind::Safe)]
+#[case::download(RequestKind::Download)]
+#[tokio::test]
+async fn a_response_without_a_final_status_is_broken(#[case] kind: RequestKind) {
+    let items = [terms(), route("route", kind, 1_000)];
+    for (case, response) in NO_FINAL_STATUS {
+        let broken = Behaviour::Truncated(response, response.len(), ConnectionEnd::Closed);
+        let server = stub_server("s1", &[broken]).await;
+        let entry = entry(&items, &[&server]).await;
+        let text = get_text(&entry, "/route/1", "r1").await.unwrap_or_default();
+        assert!(text.starts_with("HTTP/1.1 502"), "{case}: {text}");
+        assert!(
+            !text.contains("bad") || !text.contains("x-seal"),
+            "{case}: {text}"
+        );
+        if kind == RequestKind::Unsafe {
+            let received = server.received.lock().expect("received").len();
+            assert_eq!(received, 1, "{case}");
+        }
+    }
+}
+
+/// The same from the first server of a request that may be repeated, and from the one that
+/// gets it as a backup: the client gets the response of the other.
+#[rstest]
+#[case::first(0)]
+#[case::backup(300)]
+#[tokio::test]
+async fn a_response_without_a_final_status_is_replaced(#[case] good_after_ms: u64) {
+    let items = [terms(), route("safe", RequestKind::Safe, 2_000)];
+    for (case, response) in NO_FINAL_STATUS {
+        let broken = Behaviour::Truncated(response, response.len(), ConnectionEnd::Closed);
+        // Whichever server is asked first, one of the two requests is answered.
+        let good = Behaviour::Answer(good_after_ms);
+        let servers = [
+            stub_server("s1", &[broken, good]).await,
+            stub_server("s2", &[good]).await,
+        ];
+        let entry = entry(&items, &[&servers[0], &servers[1]]).await;
+        for id in ["r1", "r2"] {
+            let text = get_text(&entry, "/safe/1", id).await.unwrap_or_default();
+            assert!(
+                is_success(&text) && text.ends_with("good"),
+                "{case}: {text}"
+            );
+        }
+    }
+}
--- a/crates/testbed/src/server/behaviour.rs
+++ b/crates/testbed/src/server/behaviour.rs
@@ -76,6 +76,8 @@
     pub cross_per_mille: u32,
     /// Share of responses with a truncated body, thousandths.
     pub cut_per_mille: u32,
+    /// Share of responses with status 600, which HTTP does not have, thousandths.
+    pub odd_status_per_mille: u32,
     /// Share of responses that are delayed after the run, thousandths.
     pub late_per_mille: u32,
     /// Delay of a late response, milliseconds.
@@ -107,6 +109,7 @@
             fail_per_mille: 0,
             cross_per_mille: 0,
             cut_per_mille: 0,
+            odd_status_per_mille: 0,
             late_per_mille: 0,
             late_ms: 0,
             draining: false,
@@ -116,6 +119,10 @@
 }
 
 /// Behaviour drawn for one request.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent faults of one response"
+)]
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DrawnBehaviour {
     /// Service time.
@@ -128,6 +135,8 @@
     pub crossed: bool,
     /// Whether the response body is truncated.
     pub cut: bool,
+    /// Whether the response has a status that HTTP does not have.
+    pub odd_status: bool,
 }
 
 impl Behaviour {
@@ -158,6 +167,7 @@
             failed: random_bool(rng, self.fail_per_mille),
             crossed: random_bool(rng, self.cross_per_mille),
             cut: random_bool(rng, self.cut_per_mille),
+            odd_status: random_bool(rng, self.odd_status_per_mille),
         }
     }
 
--- a/crates/testbed/src/server/runs.rs
+++ b/crates/testbed/src/server/runs.rs
@@ -43,6 +43,8 @@
     pub stale_fence: u64,
     /// Responses sent deliberately with another request's id and content.
     pub crossed: u64,
+    /// Responses with a status that HTTP does not have.
+    pub odd_status: u64,
     /// Responses truncated deliberately.
     pub cut: u64,
     /// Responses delayed deliberately.
--- a/crates/testbed/src/server/serve.rs
+++ b/crates/testbed/src/server/serve.rs
@@ -38,6 +38,9 @@
 /// Id in a response that deliberately belongs to another request.
 const OTHER_REQUEST: &str = "of-another-request";
 
+/// Status without a meaning in HTTP that the library can send.
+const ODD_STATUS: u16 = 600;
+
 /// Accepts connections until the server crashes.
 pub async fn accept(listener: TcpListener, state: Arc<State>) {
     let mut connections = JoinSet::new();
@@ -205,6 +208,11 @@
             },
         );
     }
+    if draw.odd_status {
+        state.count(|s| s.odd_status += 1);
+        let status = StatusCode::from_u16(ODD_STATUS).unwrap_or(StatusCode::BAD_GATEWAY);
+        return response_to(status, parsed, small_body(state, parsed, body));
+    }
     if size_bytes > 0 {
         let download = Download::new(size_bytes, behaviour.body_bytes_per_s, slot);
         return response_to(StatusCode::OK, parsed, Body::Download(download));
--- a/crates/testbed/tests/answers.rs
+++ b/crates/testbed/tests/answers.rs
@@ -47,6 +47,28 @@
     );
 }
 
+/// Guards against a status that HTTP does not have, of a backend server in trouble, which
+/// clients get as an answer.
+#[tokio::test]
+async fn responses_with_a_status_that_is_none_never_reach_a_client() {
+    let site = site().await;
+    set_all(&site, json!({ "odd_status_per_mille": 500 })).await;
+    let client = Client::new(site.api_addrs()[0], "terminy").await.unwrap();
+    let mut statuses = std::collections::BTreeMap::new();
+    for number in 0..60 {
+        let path = format!("/terminy/slots?n={number}");
+        let response = client.send(&ClientRequest::new(&path)).await.unwrap();
+        *statuses.entry(response.status).or_insert(0) += 1;
+    }
+    assert!(statuses.contains_key(&200), "{statuses:?}");
+    assert!(statuses.keys().all(|status| *status < 600), "{statuses:?}");
+    let mut odd = 0;
+    for backend in site.fleet("terminy") {
+        odd += backend.stats().await.unwrap().odd_status;
+    }
+    assert!(odd > 10, "only {odd} responses had such a status");
+}
+
 /// A backend server that closes the connection within the body must not cause a response
 /// that the client takes for complete.
 #[tokio::test]
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod machine;
 pub mod name;
 pub mod route;
+pub mod status;
 pub mod unit;
 pub mod zone;
 
@@ -30,6 +31,7 @@
     ServerName, ServiceName,
 };
 pub use route::{RequestKind, RequestLimits, Route, ServiceTerms, WeightedService};
+pub use status::FINAL_STATUSES;
 pub use zone::{FailureDomain, Place, Region, Zones};
 
 /// A `Result` whose error is [`Error`].
