--- a/crates/entry/src/config_sync.rs
+++ b/crates/entry/src/config_sync.rs
@@ -23,7 +23,7 @@
 /// Interval between fetches from a control replica at all other VMs.
 const OTHERS_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Timeout of one fetch.
+/// Time in which no byte of a fetched configuration arrives after which the fetch has failed.
 pub const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Timeout of each of the two steps of the initial fetch.
@@ -89,7 +89,10 @@
         have_version: state.version(),
         confirmed: false,
     });
-    let Ok(Body::ConfigResponse(response)) = links.to(source).call(request, FETCH_TIMEOUT).await
+    let Ok(Body::ConfigResponse(response)) = links
+        .to(source)
+        .call_while_receiving(request, FETCH_TIMEOUT)
+        .await
     else {
         return;
     };
