--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -1,21 +1,24 @@
 //! Long-polls the feeds of two control VMs at a time. Switches to another
 //! control VM when one is unresponsive, isolated from the others, or lags.
 
+mod apply;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
-use discovery::{Departure, Finding, Row, ServerLimit, Update};
+use discovery::{Key, Update};
 use peers::{ClientOnly, Identity, Links, suspension};
 use rand::seq::IndexedRandom;
 use routed_control::{FeedPage, FeedRequest, Paging, Reader};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 use wire::Body;
-use world::unit::{as_ms, ms};
+use world::unit::as_ms;
 use world::{LockRank, RankedMutex, RegionName, Result};
 
+use self::apply::Received;
 use crate::dialect::Dialect;
 use crate::state::State;
 use crate::transfer::Transfer;
@@ -65,15 +68,27 @@
     followed: [Option<IpAddr>; FOLLOWED],
     cursors: BTreeMap<IpAddr, Cursor>,
     transfer: Transfer,
+    /// Keys of the rows so far, for each control VM whose whole registry is arriving.
+    arriving: BTreeMap<IpAddr, BTreeSet<Key>>,
 }
 
-/// A response of a control VM, with the keys of all rows when it completes a transfer of
-/// the whole registry.
-struct Received {
-    page: FeedPage,
-    /// Whether the control VM has nothing else for this entry VM.
-    is_complete: bool,
-    whole: Option<BTreeSet<discovery::Key>>,
+impl Following {
+    /// Records a response with rows from `ip`. Returns the keys of all rows of its
+    /// registry when the response completes a transfer of the whole.
+    fn record(&mut self, position: usize, ip: IpAddr, page: &FeedPage) -> Option<BTreeSet<Key>> {
+        self.transfer.record(position, page.has_more());
+        let response = &page.response;
+        if response.whole {
+            self.arriving.insert(ip, BTreeSet::new());
+        }
+        let keys = self.arriving.get_mut(&ip)?;
+        let rows = response.news.iter().chain(&response.findings);
+        keys.extend(rows.map(|update| update.row.key()));
+        if response.more {
+            return None;
+        }
+        self.arriving.remove(&ip)
+    }
 }
 
 /// Position in the feed of a control VM.
@@ -184,8 +199,6 @@
         let mut cursor = known.unwrap_or_default();
         let mut logged = false;
         let mut caught_up_at = Instant::now();
-        // Keys of the rows so far, while the whole registry is received.
-        let mut keys: Option<BTreeSet<discovery::Key>> = None;
         loop {
             let requested_at = Instant::now();
             let findings = &self.state.findings;
@@ -219,21 +232,13 @@
                 registry: response.cursor,
                 reported,
             };
-            if takes_rows {
+            let whole = takes_rows.then(|| {
                 let mut following = self.following.lock();
                 following.cursors.insert(ip, cursor);
-                following.transfer.record(position, page.has_more());
-            }
-            if response.whole {
-                keys = Some(BTreeSet::new());
-            }
-            if let Some(keys) = &mut keys {
-                let rows = response.news.iter().chain(&response.findings);
-                keys.extend(rows.map(|update| update.row.key()));
-            }
-            let is_last = takes_rows && !response.more;
+                following.record(position, ip, &page)
+            });
             let received = Received {
-                whole: if is_last { keys.take() } else { None },
+                whole: whole.flatten(),
                 is_complete: takes_rows && !page.has_more(),
                 page,
             };
@@ -244,109 +249,6 @@
         }
     }
 
-    /// Applies catalog rows and registry updates of a feed response.
-    fn apply_feed(&self, received: Received) {
-        let now = Instant::now();
-        let mut controls = Vec::new();
-        let Received {
-            page: FeedPage { response, catalog },
-            is_complete,
-            whole,
-        } = received;
-        let mut balancer = self.state.balancer.lock();
-        if let Some(kept) = whole.as_ref().filter(|_| response.settled) {
-            let removed: Vec<_> = balancer
-                .servers()
-                .filter(|(name, _)| !kept.contains(&discovery::Key::Server((*name).clone())))
-                .map(|(name, born_ms)| (name.clone(), born_ms))
-                .collect();
-            for (name, born_ms) in removed {
-                balancer.remove_server(&name, born_ms);
-            }
-        }
-        for Update { row, age_ms, lost } in response.news {
-            match row {
-                Row::Server(row) if lost => {
-                    log::info!(
-                        target: "belief", server:% = row.name, born_ms = row.born_ms, age_ms;
-                        "server lost"
-                    );
-                    balancer.remove_server(&row.name, row.born_ms);
-                }
-                Row::Server(row) => balancer.apply_announcement(&row, age_ms, now),
-                Row::Entry(row) => {
-                    balancer.update_entry_vm(&row.name, &row.place.region, lost, now);
-                }
-                Row::Control(row) if !lost => controls.push(row),
-                Row::Control(_) | Row::Finding(_) => {}
-            }
-        }
-        drop(balancer);
-        self.apply_findings(&response.findings, whole.as_ref());
-        // Last, since a new entry VM becomes ready with the catalog.
-        self.state.merge_catalog(catalog, is_complete);
-        if controls.is_empty() {
-            return;
-        }
-        let mut known = self.controls.lock();
-        for row in controls {
-            known.retain(|c| c.ip != row.link.ip());
-            known.push(Control {
-                ip: row.link.ip(),
-                region: Some(row.place.region),
-            });
-        }
-    }
-
-    /// Applies findings of other entry VMs; `whole` has the keys of all rows of the control
-    /// VM, once they are known.
-    fn apply_findings(&self, updates: &[Update], whole: Option<&BTreeSet<discovery::Key>>) {
-        let now = Instant::now();
-        let State {
-            findings, crashes, ..
-        } = &*self.state;
-        for update in updates {
-            let Row::Finding(finding) = &update.row else {
-                continue;
-            };
-            let Some(finding) = findings.receive(finding, update.age_ms, now) else {
-                continue;
-            };
-            match &finding {
-                Finding::Limit(limit) => {
-                    let named_at = now.checked_sub(ms(update.age_ms)).unwrap_or(now);
-                    let ServerLimit {
-                        server,
-                        born_ms,
-                        per_1000_s,
-                    } = limit;
-                    let mut balancer = self.state.balancer.lock();
-                    balancer.set_limit(server, *born_ms, *per_1000_s, named_at, now);
-                }
-                Finding::Leaving(Departure { server, born_ms }) => {
-                    self.state.balancer.lock().mark_leaving(server, *born_ms);
-                }
-                Finding::Crash(mark) => {
-                    let confirmed = crashes.merge(mark);
-                    // Two crashes known to different entry VMs: one that saw a crash
-                    // tells the others.
-                    if let Some(confirmed) = confirmed
-                        && findings.saw_crash_of(mark.fingerprint)
-                    {
-                        findings.report(confirmed, now);
-                    }
-                }
-            }
-        }
-        if let Some(whole) = whole {
-            let had = whole.iter().filter_map(|key| match key {
-                discovery::Key::Finding(key) => Some(key.clone()),
-                _ => None,
-            });
-            findings.restate(&had.collect());
-        }
-    }
-
     /// Requests the changes since `cursor`; `None` on timeout or an invalid
     /// response.
     async fn request_feed(
