--- a/crates/forward/tests/slow_link.rs
+++ b/crates/forward/tests/slow_link.rs
@@ -25,6 +25,21 @@
 /// What clients leave of a link of 3.3 Mbit/s, bytes a second.
 const LINK_BYTES_PER_S: usize = 40_000;
 
+/// Time between two chunks that the relay passes on.
+const CHUNK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Bytes of such a chunk.
+const CHUNK_BYTES: usize = LINK_BYTES_PER_S / 50;
+
+/// Time between two looks at the state.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Time for a single control VM to lead.
+const ELECTION_MAX: Duration = Duration::from_secs(20);
+
+/// Time for the whole registry and the first routes.
+const START_MAX: Duration = Duration::from_secs(10);
+
 /// Time in which a change has to be in effect at the users' largest site.
 const APPLY_TIME: Duration = Duration::from_secs(3);
 
@@ -39,12 +54,12 @@
             let (mut from_client, mut to_client) = client.split();
             let (mut from_server, mut to_server) = server.split();
             let downstream = async {
-                let mut buffer = [0; LINK_BYTES_PER_S / 50];
+                let mut buffer = [0; CHUNK_BYTES];
                 while let Ok(read @ 1..) = from_server.read(&mut buffer).await {
                     if to_client.write_all(&buffer[..read]).await.is_err() {
                         break;
                     }
-                    sleep(Duration::from_millis(20)).await;
+                    sleep(CHUNK_INTERVAL).await;
                 }
             };
             tokio::select! {
@@ -147,7 +162,7 @@
 async fn has_route(state: &State<TestDialect>, number: usize) {
     let path = format!("/path-{number}/more-{number}/x");
     while state.routes.load().route("site.example", &path).is_none() {
-        sleep(Duration::from_millis(20)).await;
+        sleep(POLL_INTERVAL).await;
     }
 }
 
@@ -168,10 +183,10 @@
     let first = patch(vec![common::terms(), route(0)]);
     let started_at = Instant::now();
     while control.patch(first.clone()).await.is_err() {
-        assert!(started_at.elapsed() < Duration::from_secs(20), "no leader");
-        sleep(Duration::from_millis(50)).await;
+        assert!(started_at.elapsed() < ELECTION_MAX, "no leader");
+        sleep(POLL_INTERVAL).await;
     }
-    timeout(Duration::from_secs(10), has_route(&state, 0))
+    timeout(START_MAX, has_route(&state, 0))
         .await
         .expect("the whole registry and the first routes");
     let many = patch((1..1_400).map(route).collect());
