Be patient with control VMs while the entry VM's own link is busy

Cause: while clients fill the link of an entry VM, the bytes of its control VMs wait there as well. After 1.25 s it dropped the connection and tried the next control VM, with 0.4 s to connect through the same queue, and so on: its log shows no followed control VM from 12.7 to 14.7 s. The control VM closed its end after 1.25 s too, as heartbeats waited on the way out.

An accepting side keeps a silent connection for 5 s; who is lost is decided by announcements. The log line has busy_percent.

Evidence: a_silent_peer_is_given_longer_while_the_own_link_is_busy (peers).

--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use discovery::{Key, Update};
-use peers::{ClientOnly, Identity, Links, suspension};
+use peers::{Identity, Links, suspension};
 use rand::seq::IndexedRandom;
 use routed_control::{FeedPage, FeedRequest, Paging, Reader};
 use tokio::task::JoinSet;
@@ -20,6 +20,7 @@
 
 use self::apply::Received;
 use crate::dialect::Dialect;
+use crate::feed_link::{self, FeedClient};
 use crate::state::State;
 use crate::transfer::Transfer;
 
@@ -57,7 +58,7 @@
 /// Follows the control VMs and applies their feeds to the state.
 pub struct ControlFollower<D: Dialect> {
     state: Arc<State<D>>,
-    links: Links<ClientOnly>,
+    links: Links<FeedClient<D>>,
     controls: RankedMutex<Vec<Control>>,
     following: RankedMutex<Following>,
 }
@@ -116,7 +117,7 @@
         };
         let controls = settings.seeds.iter().map(seed).collect();
         Ok(Self {
-            links: Links::new(identity, Arc::new(ClientOnly)),
+            links: Links::new(identity, Arc::new(FeedClient::new(Arc::clone(&state)))),
             controls: RankedMutex::new(LockRank::Members, controls),
             following: RankedMutex::new(LockRank::Registry, Following::default()),
             state,
@@ -155,7 +156,11 @@
                 continue;
             };
             let reason = self.follow(position, ip).await;
-            log::info!(target: "forward", control:% = ip, reason; "stopped following a control VM");
+            let busy_percent = self.state.busy_percent();
+            log::info!(
+                target: "forward", control:% = ip, reason, busy_percent;
+                "stopped following a control VM"
+            );
             self.release(position);
             failed = Some(ip);
             sleep(RETRY_PAUSE).await;
@@ -276,7 +281,8 @@
             )
             .ok()?;
         let link = self.links.to(addr);
-        let response = link.call_while_receiving(Body::FeedRequest(request), FEED_TIMEOUT);
+        let max_wait = FEED_TIMEOUT + feed_link::patience(self.state.busy_percent());
+        let response = link.call_while_receiving(Body::FeedRequest(request), max_wait);
         let Ok(Body::FeedResponse(response)) = response.await else {
             return None;
         };
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod connection;
 pub mod crashes;
 pub mod dialect;
+pub mod feed_link;
 pub mod findings;
 pub mod follow;
 pub mod front;
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -188,7 +188,7 @@
             front: self.settings.front,
             place: self.settings.balancer.place.clone(),
             leaving: !self.is_ready(),
-            busy_percent: self.busy_percent.load(Ordering::Relaxed),
+            busy_percent: self.busy_percent(),
             born_ms: self.incarnation,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
         })
@@ -206,6 +206,11 @@
         self.stats.set_held_bytes(self.memory.held_bytes());
     }
 
+    /// Moving mean of the used share of the link, percent of the paced rate.
+    pub fn busy_percent(&self) -> u32 {
+        self.busy_percent.load(Ordering::Relaxed)
+    }
+
     /// Merges a piece of the catalog, if any was sent, and updates the routes and the
     /// balancer. `is_complete` tells whether its sender has nothing else for this entry VM.
     pub fn merge_catalog(&self, piece: Option<Piece>, is_complete: bool) {
--- a/crates/peers/src/accept.rs
+++ b/crates/peers/src/accept.rs
@@ -14,7 +14,7 @@
 use crate::handshake::{Identity, Stream, framed};
 use crate::progress::timeout_without_progress;
 use crate::serve::Serve;
-use crate::{HANDSHAKE_TIMEOUT, SEND_QUEUE_MAX, SILENCE_TIMEOUT};
+use crate::{ACCEPTED_SILENCE_TIMEOUT, HANDSHAKE_TIMEOUT, SEND_QUEUE_MAX, SILENCE_TIMEOUT};
 
 /// Runs the accept loop until the task is dropped; each connection gets a task
 /// of its own.
@@ -58,12 +58,13 @@
         tokio::select! {
             Some(envelope) = queued_replies.recv() => {
                 let sending = sink.send(envelope);
-                timeout_without_progress(SILENCE_TIMEOUT, || Some(progress.sent_at()), sending)
+                let sent_at = || Some(progress.sent_at());
+                timeout_without_progress(ACCEPTED_SILENCE_TIMEOUT, sent_at, sending)
                     .await
                     .context("peer takes no bytes")??;
             }
             envelope = timeout_without_progress(
-                SILENCE_TIMEOUT, || Some(progress.received_at()), source.next(),
+                ACCEPTED_SILENCE_TIMEOUT, || Some(progress.received_at()), source.next(),
             ) => {
                 let Some(envelope) = envelope.context("peer is silent")? else { return Ok(()) };
                 let envelope = envelope?;
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -27,6 +27,11 @@
 /// closed: two heartbeats were missed.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_250);
 
+/// An accepted link that received no byte for this long is closed. Longer than
+/// [`SILENCE_TIMEOUT`], since heartbeats may wait on the peer's busy network link; whether
+/// the peer is lost is decided elsewhere.
+pub const ACCEPTED_SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// A link that carried no call for this long is closed; the next call reopens it.
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -212,7 +212,9 @@
             self.attempts.fetch_add(1, Ordering::Relaxed) == attempts,
             "a concurrent connection attempt failed"
         );
-        let connected = timeout(*connect_timeout, TcpStream::connect(self.addr)).await;
+        let patience = self.serve.patience();
+        let connecting = TcpStream::connect(self.addr);
+        let connected = timeout(*connect_timeout + patience, connecting).await;
         *connect_timeout = match &connected {
             Ok(_) => CONNECT_TIMEOUT_MIN,
             Err(_) => (*connect_timeout * 2).min(CONNECT_TIMEOUT_MAX),
@@ -220,7 +222,7 @@
         let stream = connected
             .context("connect timed out")?
             .with_context(|| format!("failed to connect to {}", self.addr))?;
-        let (stream, peer) = timeout(HANDSHAKE_TIMEOUT, self.handshake(stream))
+        let (stream, peer) = timeout(HANDSHAKE_TIMEOUT + patience, self.handshake(stream))
             .await
             .context("handshake timed out")??;
         let (sender, queue) = mpsc::channel(SEND_QUEUE_MAX);
@@ -272,6 +274,7 @@
         heartbeat.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut last_used_at = Instant::now();
         loop {
+            let silence_max = SILENCE_TIMEOUT + self.serve.patience();
             tokio::select! {
                 envelope = queue.recv() => {
                     let Some(envelope) = envelope else { return Ok(()) };
@@ -293,10 +296,10 @@
                     let Some(envelope) = envelope else { return Ok(()) };
                     self.handle_reply(envelope?);
                 }
-                () = sleep_until(progress.received_at() + SILENCE_TIMEOUT) => {
+                () = sleep_until(progress.received_at() + silence_max) => {
                     // Bytes may have arrived since the deadline was set.
                     let silent_for = progress.received_at().elapsed();
-                    ensure!(silent_for < SILENCE_TIMEOUT, "peer is silent");
+                    ensure!(silent_for < silence_max, "peer is silent");
                 }
             }
         }
--- a/crates/peers/src/serve.rs
+++ b/crates/peers/src/serve.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::sync::Arc;
+use std::time::Duration;
 
 use wire::Body;
 use world::MachineName;
@@ -20,6 +21,13 @@
 
     /// Called with the configuration version of every received message.
     fn on_config_version(&self, from: &MachineName, version: u64);
+
+    /// Time by which the timeouts of connections that this process opens are extended now,
+    /// since bytes wait on this machine's own network link: silence says little about the
+    /// peer then, and a new connection would wait as well.
+    fn patience(&self) -> Duration {
+        Duration::ZERO
+    }
 }
 
 /// Ignores every request, for a process that only makes calls.
--- a/crates/peers/tests/link.rs
+++ b/crates/peers/tests/link.rs
@@ -4,13 +4,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
+use futures_util::{SinkExt, StreamExt};
 use peers::{CallError, Identity, Link, Serve, accept};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{sleep, timeout};
-use wire::Body;
 use wire::body::{ConfigRequest, ConfigResponse};
+use wire::{Body, Envelope};
 use world::unit::ms;
 use world::{MachineName, Secret};
 
@@ -110,6 +112,66 @@
     );
 }
 
+/// A process whose own network link is busy or not.
+struct Busy(bool);
+
+impl Serve for Busy {
+    async fn serve(self: &Arc<Self>, _from: &MachineName, _body: Body) -> Option<Body> {
+        None
+    }
+
+    fn config_version(&self) -> u64 {
+        42
+    }
+
+    fn on_config_version(&self, _from: &MachineName, _version: u64) {}
+
+    fn patience(&self) -> Duration {
+        ms(if self.0 { 1_250 } else { 0 })
+    }
+}
+
+/// Guards against a connection that is dropped and made anew, in several round trips, while
+/// the bytes of its peer wait on this machine's own network link.
+#[rstest::rstest]
+#[case::busy(true)]
+#[case::idle(false)]
+#[tokio::test]
+async fn a_silent_peer_is_given_longer_while_the_own_link_is_busy(#[case] is_busy: bool) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let addr = listener.local_addr().expect("addr");
+    let server = identity("server", "s");
+    tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.expect("accept");
+        let mut stream = peers::handshake::framed(stream).expect("framed");
+        server.accept(&mut stream).await.expect("open");
+        // Nothing arrives for longer than the silence timeout.
+        sleep(ms(1_750)).await;
+        while let Some(Ok(envelope)) = stream.next().await {
+            let config_json = bytes::Bytes::new();
+            let version = 1;
+            let body = Body::ConfigResponse(ConfigResponse {
+                version,
+                config_json,
+            });
+            let reply = Envelope {
+                body: Some(body),
+                ..envelope
+            };
+            if reply.call > 0 && stream.send(reply).await.is_err() {
+                return;
+            }
+        }
+    });
+    let link = Arc::new(Link::new(
+        addr,
+        identity("client", "s"),
+        Arc::new(Busy(is_busy)),
+    ));
+    let reply = link.call(config_request(1), ms(10_000)).await;
+    assert_eq!(reply.is_ok(), is_busy, "{reply:?}");
+}
+
 /// Answers with a configuration of a fixed size.
 struct Large;
 
